Refuse a try at once where its home may not be asked

Evidence: of 1,049 tries at gateway 0 in the 5 s from 10 s on, 408 ended as "hopeless" without ever having been asked for. Quota.request lets only so many ask as a home can hear; for the others it did nothing at all, so they kept a client's connection until the time that a request may be held was over, and their clients came back when the aim had gone by.

Ruled out: the cap on attempts out (held was 0, at most 12 of the window in use, no refusal came from a held request); a slow worker (median answer 40 ms); client admission (no connection was turned away for want of room).

At fault: Quota.request in anisefront/control.py, the branch that does not ask.

--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -214,10 +214,13 @@
         if plan.rate_per_s and not plan.max_out and units <= account.own and self.draw(now, request):
             return True
         # Danger: who asks for many times its quota, or repeats without end, floods its home's inbox, and
-        # what is lost there is everyone's. So only so many ask as a home can hear.
+        # what is lost there is everyone's. So only so many ask as a home can hear; the others have nothing to
+        # wait for and are told at once.
         heard = max(INBOX_PART * self.settings.inbox_per_s, ASK_MOST * plan.rate_per_s)
         if not self.settings.inbox_per_s or self.rng.random() * account.total <= heard:
             self.ask(now, request)
+        else:
+            self.denied(request)
         return False
 
     def draw(self, now: float, request: Request) -> bool:
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -433,6 +433,19 @@
     assert 0 < asked < 100
 
 
+def test_a_try_that_is_not_asked_for_is_refused_at_once():
+    """Seen on a day with a flood: 40% of the tries at a gateway were never asked for, and hung until the time
+    they may be held was over, up to 2.2 s."""
+    c = gateway(number=(home_of("c") + 1) % 3, inbox_per_s=20, plans=(Plan("rated", 4, 12),))
+    c.handle(1000, [FLEET, ask(1)])
+    wait = messages.encode(1, 1.0, [item(messages.Kind.WAIT, asked=400.0)], [])
+    c.handle(1010, [Heard(home_of("c"), wait)])
+    refused = of(Refuse, c.handle(1012, [ask(n) for n in range(2, 102)]))
+    asked = [request.arrival.id for request in c.requests.values() if request.asks]
+    assert 80 < len(refused) < 100 and all(refusal.retry_in_ms >= 250 for refusal in refused)
+    assert sorted([*asked, *(refusal.id for refusal in refused)]) == [*range(1, 102)]
+
+
 def test_work_for_one_request_does_not_grow_with_the_gateways():
     """Counted: actions for the same day at 40 and at 400 gateways. (Few gateways are homes of many customers
     themselves and need no messages, so they are no measure.)"""
