Fill a ceiling's parts from the gateway's start, not from a customer's first request

The home had quota and no ceiling: a store is made with level=burst and ceiling=0 when its customer is first heard of, and made anew after 8 s of silence. A partner that asks seldom so waits half a second for each unit, every time, on a ceiling that it never touched.

Ruled out: lost messages (the answers had come: "answered" was set on all of these); the cap on attempts out (nothing was held); the reserve by worth (it needs no more than a third of a full store).

At fault: Account and Store in anisefront/control.py, made in Quota.account and Quota.at_home with an empty part of the ceiling. Empty at the gateway's own start is right and stays, as a restart must not grant again what was spent. But from then on a part fills, whether its customer has come or not.

--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -174,6 +174,7 @@
             spread, tag = max(1, min(arrival.spread, self.settings.gateways)), tag_of(arrival.customer)
             home = (arrival.first_gateway + tag % spread) % self.settings.gateways
             account = self.accounts[name] = Account(plan, tag, spread, home, now)
+            account.ceiling = self.untouched(now, plan) * (1 - HOME_CEILING) / spread
         gone_s = (now - account.at_ms) / 1000
         account.at_ms = now
         account.asked *= math.exp(-gone_s * 1000 / DEMAND_MEMORY_MS)
@@ -182,11 +183,16 @@
         mine = account.asked * 1000 / DEMAND_MEMORY_MS
         part = min(1.0, mine / account.total) if account.total else 1 / account.spread
         account.own = min(plan.burst * OWN_PART * part, account.own + plan.rate_per_s * part * gone_s)
-        # A ceiling is split for good and its parts start empty: a restart can't grant again what was spent.
         rest = (1 - HOME_CEILING) / account.spread
         account.ceiling = min(plan.ceiling_burst * rest, account.ceiling + plan.ceiling_per_s * rest * gone_s)
         return account
 
+    def untouched(self, now: float, plan: Plan) -> float:
+        """What a ceiling holds for a customer of whom this gateway has heard nothing. It is split for good and
+        its parts are empty when the gateway starts, so that a restart can't grant again what was spent; from
+        then on they fill, whether the customer has come or not."""
+        return min(plan.ceiling_burst, plan.ceiling_per_s * (now - self.began_ms) / 1000)
+
     def forget(self, now: float, open_requests: Iterable[Request]) -> None:
         """Forget customers of whom nothing is open and whose buckets and stores are full again: they begin
         anew with no more than that, so no quota is granted twice."""
@@ -315,7 +321,7 @@
         name = store_name(item)
         store = self.stores.get(name)
         if store is None:
-            store = self.stores[name] = Store(plan, plan.burst, now)
+            store = self.stores[name] = Store(plan, plan.burst, now, self.untouched(now, plan) * HOME_CEILING)
         queued = any(ask.key == key for ask in store.queue)
         asked = item.kind in (Kind.ASK, Kind.AGAIN)
         if asked and key in store.done:
@@ -562,6 +568,7 @@
             self.wake_ms = math.inf
         left: list[Backend] = []
         if first:
+            self.quota.began_ms = now_ms
             self.plan_at(now_ms, "period")
             self.plan_at(now_ms, "subscribe")
         for event in events:
--- a/anisefront/state.py
+++ b/anisefront/state.py
@@ -126,6 +126,7 @@
     denied: Callable[[Request], None]  # and that it is not to be had in time
     rtt_ms: float  # usual time of a home's answer
     boot: int
+    began_ms: float = 0.0  # when the gateway started
     serial: int = 0
     accounts: dict[tuple[str, str, int, int], Account] = field(default_factory=dict)
     stores: dict[int, Store] = field(default_factory=dict)  # of which this gateway is the home, by store_name
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -412,6 +412,31 @@
     assert of(Send, c.handle(1250, [Woken("agenda")]))
 
 
+def test_ceiling_fills_from_the_start_and_not_from_a_customers_first_request():
+    """Seen in service: at a home whose stores were full, customers that came first or after a long pause
+    waited for a ceiling that they had never touched, and most were refused."""
+    c = gateway(number=home_of("k"))
+    c.handle(1000, [FLEET])
+    now = 1000.0
+    while now < 4000:
+        now += 100
+        c.handle(now, [Woken("agenda")])
+    burst = [ask(n, "seat", "capped", 9000.0, "k") for n in range(1, 11)]
+    assert len(of(Send, c.handle(4001, burst))) == 10
+
+
+def test_the_slice_of_a_ceiling_fills_from_the_start_too():
+    """Its home is silent: what goes out on credit of the bucket here must wait for no ceiling."""
+    c = gateway(number=(home_of("k") + 1) % 3)
+    now, sent = 1000.0, []
+    c.handle(now, [FLEET])
+    while now < 9000 and not sent:
+        now += 100
+        events = [ask(1, "seat", "capped", 9900.0, "k", units=4)] if now == 7000 else []
+        sent = of(Send, c.handle(now, [*events, Woken("agenda")]))
+    assert 7000 < now < 7500
+
+
 def test_only_the_home_is_told_and_nothing_without_news():
     c, told = gateway(number=(home_of("c") + 1) % 3), []
     c.handle(1000, [FLEET])
