--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -188,9 +188,9 @@
         return account
 
     def untouched(self, now: float, plan: Plan) -> float:
-        """What a ceiling holds for a customer of whom this gateway has heard nothing. It is split for good and
-        its parts are empty when the gateway starts, so that a restart can't grant again what was spent; from
-        then on they fill, whether the customer has come or not."""
+        """What a ceiling holds for a customer of whom nothing has been heard here. It is split for good, and
+        its parts are empty when the gateway starts, so that a restart grants nothing twice; from then on they
+        fill, whether the customer has come or not."""
         return min(plan.ceiling_burst, plan.ceiling_per_s * (now - self.began_ms) / 1000)
 
     def forget(self, now: float, open_requests: Iterable[Request]) -> None:
