Space messages to a peer by what the inboxes of all gateways take in

Symptom: in every recording 10 to 16% of the messages between instances do not arrive; the network loses 7.7% at most.

Quota.post spaces messages to one peer by the number of gateways that talk: with four of them all pressed, 100 ms. But the gap was cut to GAP_MOST_MS, 60 ms: three peers so send 50 a second into an inbox that takes in 40, and what is lost there is asked for again (a third of all grants came after a second ask).

Ruled out: the socket (recvfrom took all that was there, one message a turn at up to 500 turns a second, and ss showed empty queues); the size (no message was over 256 bytes); the network itself (the same share was lost at every node, and just the share above 40 a second).

At fault: Quota.post in anisefront/control.py, the bound of GAP_MOST_MS on gap.

--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -50,7 +50,7 @@
 INBOX_PART, ASK_MOST = 0.5, 2.0  # of a home's inbox that one customer may fill; or so many times its quota
 RESERVE = 0.8  # of the burst that what is worth nothing leaves in store, and less the more it is worth
 LEASE_AIMS = 1.5  # a slot whose end is never told is free again after so many aims
-TELL_PART, GAP_MOST_MS = 0.75, 60.0  # of an inbox that all others may fill; what waits for company
+TELL_PART = 0.75  # of an inbox that all others may fill
 TALKING_MS = 1000.0  # a gateway heard within so long shares our peers' inboxes with us
 DONE_MS, DONE_LEAST = 5000.0, 64  # how long, and how many, a home remembers what it granted, against repeats
 TELL_MS = 250.0  # advice to come again where nothing better is known
@@ -285,7 +285,7 @@
         self.heard_ms = {other: ms for other, ms in self.heard_ms.items() if now - ms <= TALKING_MS}
         room = TELL_PART * self.settings.inbox_per_s or math.inf
         full = min(1.0, max(0.0, 2 * self.heard / room - 1))
-        gap = min(GAP_MOST_MS, full * len(self.heard_ms) * 1000 / room)
+        gap = full * len(self.heard_ms) * 1000 / room
         ready = [other for other in self.outbox if now > self.told_ms.get(other, -math.inf) + gap]
         if len(ready) < len(self.outbox) and now >= self.flush_ms:
             self.flush_ms = now + max(self.settings.tick_ms, gap / 2)
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -458,6 +458,19 @@
     assert 0 < asked < 100
 
 
+def test_four_pressed_gateways_leave_room_in_each_others_inboxes():
+    """Seen in service: each took in 40 messages a second and was sent 48, so that one in six was lost."""
+    c, told, serial = gateway(gateways=4, number=0, inbox_per_s=40), [], 0
+    c.handle(1000, [FLEET])
+    for now in range(1005, 6000, 5):
+        serial += 1
+        events = [Arrival(serial, f"c{serial}", "look", "rated", now + 1500.0, 1, 0, 4), Woken("agenda")]
+        if now % 100 == 0:  # each of the others says as much as we may
+            events += [Heard(other, messages.encode(1, 1.0, [], [])) for other in (1, 2, 3)]
+        told += [tell.receiver for tell in of(Tell, c.handle(now, events)) if now >= 3000]
+    assert 0 < max(told.count(other) for other in (1, 2, 3)) <= 3 * 40 / 3
+
+
 def test_a_try_that_is_not_asked_for_is_refused_at_once():
     """Seen on a day with a flood: 40% of the tries at a gateway were never asked for, and hung until the time
     they may be held was over, up to 2.2 s."""
