Keep business beyond what a message holds for the next message

Symptom: tries are refused with room, with no word from a home.

An ask, a grant or a SPENT cut there is as lost as a datagram, and no network lost it.

Ruled out: the size of an item (12 bytes; 19 fill the 256 bytes that a datagram may have).

At fault: Quota.post in anisefront/control.py took the whole outbox of a peer and passed on its first MAX_ITEMS. The rest stays now, and a flush is planned.

--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -287,11 +287,14 @@
         full = min(1.0, max(0.0, 2 * self.heard / room - 1))
         gap = full * len(self.heard_ms) * 1000 / room
         ready = [other for other in self.outbox if now > self.told_ms.get(other, -math.inf) + gap]
-        if len(ready) < len(self.outbox) and now >= self.flush_ms:
+        self.told_ms.update((other, now) for other in ready)
+        posts = [(other, self.outbox.pop(other)) for other in ready]
+        # What a message does not hold goes with the next one; lost here, it would be asked for again.
+        self.outbox.update((other, items[MAX_ITEMS:]) for other, items in posts if items[MAX_ITEMS:])
+        if self.outbox and now >= self.flush_ms:
             self.flush_ms = now + max(self.settings.tick_ms, gap / 2)
             self.plan_at(self.flush_ms, "flush", -1)
-        self.told_ms.update((other, now) for other in ready)
-        return [(other, self.outbox.pop(other)[:MAX_ITEMS]) for other in ready]
+        return [(other, items[:MAX_ITEMS]) for other, items in posts]
 
     def hear(self, now: float, sender: int, boot: int, item: Item) -> None:
         if item.kind not in (Kind.GRANT, Kind.WAIT, Kind.DENY):
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -488,6 +488,18 @@
     assert c.quota.rtt_ms > before
 
 
+def test_business_beyond_what_a_message_holds_goes_with_the_next_one():
+    c = gateway(number=(home_of("c") + 1) % 3)
+    actions = c.handle(1000, [FLEET, *(ask(n, "seat") for n in range(1, 51))])
+    told, now = [], 1000.0
+    while now < 1100:
+        for tell in of(Tell, actions):
+            told += [item.serial for item in messages.decode(tell.data).items]
+        now += min((wake.after_ms for wake in of(Wake, actions)), default=4.0)
+        actions = c.handle(now, [Woken("agenda")])
+    assert sorted(told) == [*range(1, 51)]
+
+
 def test_a_try_that_is_not_asked_for_is_refused_at_once():
     """Seen on a day with a flood: 40% of the tries at a gateway were never asked for, and hung until the time
     they may be held was over, up to 2.2 s."""
