Send on credit at once what its home's word would reach too late

A home's word takes about 130 ms, as it and the ask wait for a peer's turn of 100 ms. At one gateway 283 of 460 readings of basis ended in 5 s as hopeless, asked once and unheard, while the answer of a worker took 29 ms at the median. Credit, which is there for a silent home, came after 2.5 usual times and a second ask, so never. The usual time was learned too short as well: an answer that came after its request had gone did not count.

Ruled out: credit for any try whose bucket is not in debt. A longer wait: it would take the time that the worker's answer needs.

At fault: Quota.request in anisefront/control.py asked with no regard to when the word would come; Quota.close learned nothing of asks left unanswered.

--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -47,6 +47,7 @@
 OWN_PART = 0.03  # of the burst that all own buckets hold together: what they hold the home may lend as well
 HOME_CEILING = 0.75  # of a ceiling that the home may grant; the rest is split evenly over the set
 ASK_START_MS, ASK_TIMES, ASK_LEAST_MS = 60.0, 2.5, 30.0  # usual time of a home's answer; late is so much
+LATE_TIMES = 2.0  # an answer that did not come in time is taken to need so many times what was waited
 INBOX_PART, ASK_MOST = 0.5, 2.0  # of a home's inbox that one customer may fill; or so many times its quota
 RESERVE = 0.8  # of the burst that what is worth nothing leaves in store, and less the more it is worth
 LEASE_AIMS = 1.5  # a slot whose end is never told is free again after so many aims
@@ -214,10 +215,12 @@
                     until <= now for until in store.leases.values()):
                 del self.stores[key]
 
-    def request(self, now: float, request: Request) -> bool:
-        """May this try go on? Where the bucket here lacks units, its home is asked."""
+    def request(self, now: float, request: Request, wait_ms: float) -> bool:
+        """May this try go on, which can wait for so long? Where the bucket here lacks units, its home is
+        asked. Whom its word would reach too late goes on credit, like one whose home is silent."""
         account, plan, units = request.account, request.plan, request.arrival.units
-        if plan.rate_per_s and not plan.max_out and units <= account.own and self.draw(now, request):
+        least = 0.0 if self.rtt_ms > wait_ms and account.home != self.settings.number else units
+        if plan.rate_per_s and not plan.max_out and least <= account.own and self.draw(now, request):
             return True
         # Danger: who asks for many times its quota, or repeats without end, floods its home's inbox, and
         # what is lost there is everyone's. So only so many ask as a home can hear; the others have nothing to
@@ -270,6 +273,8 @@
     def close(self, now: float, request: Request) -> None:
         """The request has ended: what it drew and did not use goes back, and its slot is free."""
         self.asking.pop(request.serial, None)
+        if request.asks and not request.answered:  # an answer takes longer than that; how much is not known
+            self.rtt_ms += max(0.0, LATE_TIMES * (now - request.came_ms) - self.rtt_ms) * USUAL_GAIN
         if request.paid and (not request.attempts or request.plan.max_out):
             self.tell_home(now, Kind.BACK, request)
 
@@ -710,8 +715,9 @@
         # Refused by half of its time a client can still use the rest: a late refusal is worse than an early
         # one. A retry with little time left would else be held for most of that, as answers take less.
         patient = self.now + HOLD_PART * (arrival.due_ms - self.now)
-        self.plan_at(min(patient, max(last - self.answer_time(kind), impatient)), "hopeless", arrival.id)
-        if self.quota.request(self.now, request):
+        hopeless = min(patient, max(last - self.answer_time(kind), impatient))
+        self.plan_at(hopeless, "hopeless", arrival.id)
+        if self.quota.request(self.now, request, hopeless - self.now):
             self.let_in(request)
 
     def on_answer(self, request: Request, granted: bool) -> None:
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -517,6 +517,26 @@
     assert 12 + 4 * 20 - 2 <= sent <= 12 + 4 * 20
 
 
+def test_a_try_that_its_homes_word_would_reach_too_late_goes_on_credit_at_once():
+    """Seen on a day with short aims: readings could wait for 72 ms and a home's word took 130, so each
+    reading with its home elsewhere was refused unheard, its quota unused."""
+    c, now = gateway(number=(home_of("c") + 1) % 3), 1000.0
+    others = [f"o{n}" for n in range(300) if home_of(f"o{n}") != c.settings.number]
+    c.handle(now, [FLEET])
+    c.quota.rtt_ms = 500.0
+    send, = of(Send, c.handle(1001, [ask(1)]))
+    again = c.handle(1002, [outcome(send, Result.OK), ask(2), Woken("agenda")])
+    assert not of(Send, again) and c.requests[2].asks == 1  # one at a time: the bucket is in debt
+    c, sent = gateway(number=c.settings.number), []
+    for serial, customer in enumerate(others[:100], 1):  # no home answers: that is learned
+        for now in range(1000 * serial, 1000 * serial + 1000, 100):
+            came = [ask(serial, customer=customer, due=now + 1500.0)] if now % 1000 == 0 else []
+            sends = of(Send, c.handle(now, [FLEET, *came, Woken("agenda")]))
+            sent += [serial] * bool(came and sends)
+            c.handle(now, [outcome(send, Result.OK) for send in sends])
+    assert sent and sent[0] > 3 and sent[-1] == 100
+
+
 def test_a_try_that_is_not_asked_for_is_refused_at_once():
     """Seen on a day with a flood: 40% of the tries at a gateway were never asked for, and hung until the time
     they may be held was over, up to 2.2 s."""
