Send on credit what hears nothing from its home while it can wait

They may wait for 113 ms, a little less than the word of a home often takes, and a second ask (2.5 usual times later) and the credit after that come later than any reading can wait. So a home that has died is never taken for silent on account of readings, and each of them is refused although a worker needs 29 ms at the median.

Ruled out: the cap on attempts out (none of these was held); a wait for a worker (they were "waiting", for their quota, and unanswered).

At fault: Controller.due in anisefront/control.py refused at "hopeless" without a look at the bucket's credit; Quota.unanswered gave it after two asks only.

--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -248,13 +248,14 @@
             patience = max(ASK_LEAST_MS, ASK_TIMES * self.rtt_ms) * (request.account.home not in self.silent)
             self.plan_at(now + patience, "ask", request.arrival.id)
 
-    def unanswered(self, now: float, request: Request) -> bool:
-        """The home has not answered: ask again, then send on credit. A quiet customer's lone request so goes
-        on at any gateway; over all, each sends one and then waits for its part of the quota."""
+    def unanswered(self, now: float, request: Request, last: bool = False) -> bool:
+        """The home has not answered: ask again, then, or where the request can wait no longer, send on
+        credit. A quiet customer's lone request so goes on at any gateway; over all, each sends one and then
+        waits for its part of the quota."""
         if request.answered:
             return False  # it waits at its home
         account = self.account(now, request.arrival, request.plan)
-        if request.asks < 2 and account.home not in self.silent:
+        if request.asks < 2 and account.home not in self.silent and not last:
             self.ask(now, request)
             return False
         self.silent.add(account.home)
@@ -665,6 +666,9 @@
             room = self.settings.second_copies and self.window.mean_out < HEDGE_ROOM * self.window.limit
             if room and len(request.out) == 1:
                 self.again(request)
+        elif what == "hopeless" and request.waiting and self.quota.unanswered(self.now, request, last=True):
+            self.let_in(request)
+            self.plan_at(self.now + self.settings.tick_ms, "hopeless", number)  # where it can't go out now
         elif what == "due" or request.attempts == 0:
             # The guard of rule 1: an answer before the client's time is up. And what can no longer be
             # answered in time is refused while a retry may help.
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -528,15 +528,31 @@
     again = c.handle(1002, [outcome(send, Result.OK), ask(2), Woken("agenda")])
     assert not of(Send, again) and c.requests[2].asks == 1  # one at a time: the bucket is in debt
     c, sent = gateway(number=c.settings.number), []
-    for serial, customer in enumerate(others[:100], 1):  # no home answers: that is learned
+    talk = [Heard(other, messages.encode(1, 1.0, [], [])) for other in range(3)]  # no home is silent,
+    for serial, customer in enumerate(others[:100], 1):  # but none answers in time: that is learned
         for now in range(1000 * serial, 1000 * serial + 1000, 100):
             came = [ask(serial, customer=customer, due=now + 1500.0)] if now % 1000 == 0 else []
-            sends = of(Send, c.handle(now, [FLEET, *came, Woken("agenda")]))
+            sends = of(Send, c.handle(now, [FLEET, *talk, *came, Woken("agenda")]))
             sent += [serial] * bool(came and sends)
             c.handle(now, [outcome(send, Result.OK) for send in sends])
     assert sent and sent[0] > 3 and sent[-1] == 100
 
 
+def test_a_try_that_hears_nothing_while_it_can_wait_goes_on_credit():
+    """Seen on a day with a rolling restart: 89 readings of two gateways were refused in 5 s with no word from
+    their homes; a second ask, and then credit, would have come later than they could wait."""
+    c, now = gateway(number=(home_of("c") + 1) % 3), 1000.0
+    c.quota.rtt_ms = 100.0
+    actions = c.handle(now, [FLEET, ask(1), ask(2)])
+    assert not of(Send, actions)
+    sent, refused = [], []
+    while now < 1500 and not refused:
+        now += 4
+        actions = c.handle(now, [Woken("agenda")])
+        sent, refused = sent + of(Send, actions), of(Refuse, actions)
+    assert len(sent) == 1 and [refusal.id for refusal in refused] == [3 - sent[0].id]  # one at a time
+
+
 def test_a_try_that_is_not_asked_for_is_refused_at_once():
     """Seen on a day with a flood: 40% of the tries at a gateway were never asked for, and hung until the time
     they may be held was over, up to 2.2 s."""
