Let a small part of the fleet's cap scatter as the whole would not

Ruled out: dials (0 to 1 ms; an answer takes as long on a new connection as on a kept one, median 173 and 183 ms for readings) and full workers (none).

At fault: Window.free(). The cap is split evenly, and a count of n scatters by its root: 15 of 240 for the fleet, but 2.4 of 6 for a part, of which CHANCE covered 1.5 and only while the mean was below.

The test fails without the change for 40 gateways.

--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -36,6 +36,7 @@
 LEAST_CUT, CUT_HEAL = 0.3, 1.05  # how far cuts may go; per period, how a cut wears off
 RATE_MEMORY_MS = 1000.0  # over which answers are counted
 CHANCE = 1.5  # attempts by which the cap may be passed while those out average less
+SCATTER = 2.0  # roots of its part by which a gateway of many may pass it: chance evens out over the fleet
 FLEET_GAIN = 0.1  # of each peer's room, in the mean of what is told
 
 # Quota.
@@ -103,8 +104,14 @@
 
     def free(self) -> float:
         """How many more may go out. While the mean is under the cap, chance may pass it: at one or two
-        requests a second the cap is less than one, and a count that scatters would be held for nothing."""
-        return self.limit + (CHANCE if self.mean_out < self.limit else 0.0) - self.out
+        requests a second the cap is less than one, and a count that scatters would be held for nothing.
+
+        A count of n scatters by its root. Of the fleet's cap that is little, of a fortieth part of it much,
+        and what one gateway then holds back the others leave unused. So the smaller the part, the more may
+        go out beyond it, and the mean, taken over few, may be half as much beyond; of a lone gateway none."""
+        scatter = SCATTER * math.sqrt(self.limit) * (1 - 1 / math.sqrt(self.gateways))
+        chance = max(CHANCE, scatter) if self.mean_out < self.limit + scatter / 2 else 0.0
+        return self.limit + chance - self.out
 
 
 def store_name(item: Item) -> int:
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -1,5 +1,7 @@
 """The module alone: odd but legal rounds, settings that cannot be right, and one test a failure found."""
 
+import random
+
 import pytest
 from test_rules import settings
 
@@ -227,6 +229,25 @@
     assert sent[0].id == 501
 
 
+@pytest.mark.parametrize("gateways", (1, 3, 40))
+def test_scatter_of_a_small_part_holds_no_more_back_than_that_of_a_whole(gateways):
+    """Seen in a fleet of 40 gateways and 60 servers: a part of 6 was full while the fleet's cap was not.
+    Drawn here: counts of a fleet at four fifths of its cap of 240, spread evenly, and how many find no room."""
+    window, rng, full = Window(gateways), random.Random(5), 0
+    window.step(0, 60)
+    window.limit = 240 / gateways
+    window.mean_out = 0.8 * window.limit
+    for _ in range(4000):
+        window.out, gone = 0, rng.expovariate(1)
+        while gone < window.mean_out:  # a count that scatters by its root
+            window.out, gone = window.out + 1, gone + rng.expovariate(1)
+        full += window.free() < 1
+    assert full <= 0.04 * 4000
+    window.out = 0
+    assert window.free() <= window.limit + 2 * window.limit ** 0.5  # and no more than such scatter
+    assert gateways > 1 or window.free() < window.limit + 2
+
+
 def test_cap_on_attempts_out_is_kept_by_the_home_for_all_gateways():
     number = home_of("o")
     c = gateway(number=number)
