--- a/anisefront/share.py
+++ b/anisefront/share.py
@@ -4,6 +4,7 @@
 
 import functools
 
+PERIOD_MS = 100.0  # one step of the shares: short, since one step moves a share by 0.01 at most
 # Paper, Tables 6 and 7, absolute delay.
 ERROR_GAIN, CHANGE_GAIN, OUTPUT_GAIN = 0.4, 3.0, 0.01  # per second of error, of its change; share per output
 CENTRES = (-1.0, -0.5, 0.0, 0.5, 1.0)  # five triangles, each as wide as its neighbours' distance
--- a/anisefront/succession.py
+++ b/anisefront/succession.py
@@ -12,7 +12,9 @@
 from anisefront.state import Ask, Store
 
 if TYPE_CHECKING:
-    from anisefront.control import Controller, Quota, Servers
+    from anisefront.control import Controller
+    from anisefront.quota import Quota
+    from anisefront.servers import Servers
 
 HALF_CIRCLE = 0x8000  # serials of the two processes are so far apart: answers are known by them
 WINDOW = ("peak", "cut", "room", "fleet_room")
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -6,7 +6,7 @@
 from test_rules import settings
 
 from anisefront import messages
-from anisefront.control import FORGET_MS, Controller, Window, store_name
+from anisefront.control import Controller, Window
 from anisefront.interface import (
     Arrival,
     Cancel,
@@ -32,6 +32,7 @@
     Whole,
     Woken,
 )
+from anisefront.quota import FORGET_MS, store_name
 from anisefront.share import CENTRES, FuzzyShare
 
 FLEET = Fleet(tuple(Server(f"s{n}", f"z{n % 2}", n % 4, State.READY) for n in range(6)))
@@ -232,7 +233,7 @@
 @pytest.mark.parametrize("gateways", (1, 3, 40))
 def test_scatter_of_a_small_part_holds_no_more_back_than_that_of_a_whole(gateways):
     """Seen in a fleet of 40 gateways and 60 servers: a part of 6 was full while the fleet's cap was not.
-    Drawn here: counts of a fleet at four fifths of its cap of 240, spread evenly, and how many find no room."""
+    Drawn here: counts of a fleet at four fifths of its cap of 240, evenly spread, and how many lack room."""
     window, rng, full = Window(gateways), random.Random(5), 0
     window.step(0, 60)
     window.limit = 240 / gateways
