Start a home's ceiling with all that the store of its quota can't have lent

Ruled out: the window (1 held in the first 5 s), the inbox's guard (41), homes that did not answer (15).

At fault: Quota.untouched(), by which a home's part of a ceiling is empty at its start, as what was lent before is not known. But a home lends under a ceiling only from the quota's store, and that fills no faster than the ceiling: a process before can have left the ceiling short by the size of that store at most. What is more is sure. With quotas of attempts alone nothing is, and such a ceiling starts empty as before, as do the others' slices.

--- a/anisefront/quota.py
+++ b/anisefront/quota.py
@@ -72,6 +72,13 @@
         fill, whether the customer has come or not."""
         return min(plan.ceiling_burst, plan.ceiling_per_s * (now - self.began_ms) / 1000)
 
+    def untouched_at_home(self, now: float, plan: Plan) -> float:
+        """The home's part of it. What the home lent before it started is not known, but it lent from the
+        quota's store, which fills no faster than the ceiling: all that it can lack is that store's size."""
+        most = plan.ceiling_burst * HOME_CEILING
+        sure = max(0.0, most - plan.burst) if plan.rate_per_s else 0.0
+        return min(most, sure + self.untouched(now, plan) * HOME_CEILING)
+
     def forget(self, now: float, open_requests: Iterable[Request]) -> None:
         """Forget customers of whom nothing is open and whose buckets and stores are full again: they begin
         anew with no more than that, so no quota is granted twice."""
@@ -211,7 +218,7 @@
         name = store_name(item)
         store = self.stores.get(name)
         if store is None:
-            store = self.stores[name] = Store(plan, plan.burst, now, self.untouched(now, plan) * HOME_CEILING)
+            store = self.stores[name] = Store(plan, plan.burst, now, self.untouched_at_home(now, plan))
         queued = any(ask.key == key for ask in store.queue)
         asked = item.kind in (Kind.ASK, Kind.AGAIN)
         if asked and key in store.done:
