Spread the repeated calls of a large fleet over what discovery serves

With calls a hundred times rarer (a probe with 32 s between them) new calls are served one after the other, 143 ms each, 14 of the 28 that start at once, and those that wait for news stay. Ruled out: that a watch holds a place that others need (short calls once a second: one good answer in 35 s); that starts are slow (1.6 to 2.1 s as before).

At fault: Discovery._watch(): waits of 20 ms doubling to 4 s, so 40 gateways call 13 times a second for good, and a discovery that has the work also of those it turned away serves none in time. After a 503 it also asked first by a short call, then by a watch: two turns. Now a gateway calls again within 0.8 s for each further one (0.25 s at first after a start, when its list may be old), at once with a call that waits.

The tests for 40 gateways fail without the spread; for 1 and 3 they hold what was.

--- a/plumpick/discovery.py
+++ b/plumpick/discovery.py
@@ -20,7 +20,10 @@
 TURN_S = 3.0  # for an answer without a watch: calls wait their turn, and one given up has had it for nothing
 WATCH_MS, WATCH_SPARE_S = 5000, 1.0  # a watch waits so long; one that is so much late is broken
 FIRST_WAIT_S, MOST_WAIT_S = 0.02, 0.5  # between calls that fail; it doubles up to the bound
-FLEET, MOST_TIMES = 5, 8.0  # in a larger fleet bound and watch are longer in proportion, up to so many times
+FLEET, MOST_TIMES = 5, 8.0  # in a larger fleet a watch is longer in proportion, up to so many times
+# In a larger fleet each gatekeeper calls again within so long for each further one; with no answer since its
+# start, whose list may be old, at first within less.
+CALM_EACH_S, HURRY_EACH_S = 0.8, 0.25
 LEAST_GAP_S = 0.05  # between answers that bring nothing, should they come at once
 MAX_ANSWER = 8 * 1024 * 1024
 
@@ -31,6 +34,10 @@
     """A call of discovery came to nothing; the text tells why."""
 
 
+class TurnedAway(CallFailed):
+    """Too many call at once."""
+
+
 class OddAnswer(CallFailed):
     """What came cannot be relied on, nor the version that it was asked with."""
 
@@ -51,6 +58,28 @@
         self.keep = self.parser.should_keep_alive()  # the parser knows this here and no later
 
 
+class Pace:
+    """When to call, so that a large fleet does not call all at once.
+
+    Discovery serves one call after the other and turns away who has waited 2 s, but has the work of it all
+    the same. So once more calls come than it serves, all of them wait in vain, and go on doing so until they
+    become fewer."""
+
+    def __init__(self, fleet: int, rng: random.Random) -> None:
+        self._rng, self._others, self._failures, self._each_s = rng, max(0, fleet - FLEET), 0, HURRY_EACH_S
+
+    def worked(self) -> None:
+        """A call has been answered: from now on a list is known that is not old."""
+        self._failures, self._each_s = 0, CALM_EACH_S
+
+    def after_failure_s(self) -> float:
+        """To wait before the next call."""
+        times, self._failures = 2.0 ** min(self._failures, 10), self._failures + 1
+        spread_s = min(CALM_EACH_S, self._each_s * times) * self._others
+        wait_s = min(MOST_WAIT_S, FIRST_WAIT_S * times) * self._rng.uniform(0.5, 1.5)
+        return wait_s + self._rng.uniform(0, spread_s)
+
+
 class Discovery:
     """Watches the list of workers and passes on all that it is told."""
 
@@ -59,7 +88,7 @@
         self._address, self._told = address, told
         self._index = known  # version of the list that is known; None: the whole list is asked for
         self._times = min(MOST_TIMES, max(1.0, fleet / FLEET))
-        self._rng = random.Random(seed)  # or all would call again at once
+        self._pace = Pace(fleet, random.Random(seed))
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
         self._quiet = False  # a failure has been logged, and no success since
@@ -91,7 +120,7 @@
 
     async def _watch(self) -> None:
         """Ask and watch at one address. After a failure it goes on from the version that is known."""
-        loop, wait_s = asyncio.get_running_loop(), FIRST_WAIT_S
+        loop = asyncio.get_running_loop()
         watch_ms = 1  # of the first call, whose answer is waited for, and of the first after a failure
         try:
             while True:
@@ -105,7 +134,8 @@
                     if not news.complete and (index is None or news.index < index):
                         raise OddAnswer("a change where the whole list was due, or the version went back")
                     self._take(news)
-                    self._index, wait_s = news.index, FIRST_WAIT_S
+                    self._index = news.index
+                    self._pace.worked()
                     if index is not None and watch_ms > 1 and not news.entries \
                             and loop.time() - asked_s < LEAST_GAP_S:
                         await asyncio.sleep(LEAST_GAP_S)
@@ -114,11 +144,12 @@
                     self._hang_up()
                     if not self._quiet:
                         log.warning("discovery: %s", problem)
-                    self._quiet, watch_ms = True, 1
+                    self._quiet = True
+                    # Who turns callers away is there: the next call may wait for news, and be the only one.
+                    watch_ms = int(WATCH_MS * self._times) if isinstance(problem, TurnedAway) else 1
                     if isinstance(problem, OddAnswer):
                         self._index = None
-                    await asyncio.sleep(wait_s * self._rng.uniform(0.5, 1.5))
-                    wait_s = min(MOST_WAIT_S * self._times, 2 * wait_s)
+                    await asyncio.sleep(self._pace.after_failure_s())
         finally:
             self._hang_up()
 
@@ -168,7 +199,7 @@
             answer.parser.feed_data(data)
         status = answer.parser.get_status_code()
         if status != 200:  # turned away, or not understood
-            raise (CallFailed if status in (429, 503) else OddAnswer)(f"status {status}")
+            raise (TurnedAway if status in (429, 503) else OddAnswer)(f"status {status}")
         if not answer.keep:
             self._hang_up()
         return b"".join(answer.parts)
