Give each gateway of a large fleet its part of a ring of workers

Checked, with a line for each attempt: each gateway dials every worker, as it picks among a few drawn from all (8 sends a second over 60 workers, idle connections closed after 9 s). 122 attempts were out at 60 workers, but from 0.9 to 4.4 at a worker on the mean, as a gateway knows a fortieth of what is out at each, and sees a worker's answer once in 7 s. Ruled out: refused connections (none), the dial itself (0 to 1 ms).

At fault: Servers.choose(), which draws from all warm servers whatever the number of gateways. Now the servers stand in a ring, the zones mixed, and a gateway draws from its part, so long that 12 gateways share a server; up to 12 gateways that is all of them, as before. Where half of a part or more fails it draws from all.

The tests for 40 gateways fail without it; for 1, 3 and 12 all is as was.

--- a/anisefront/servers.py
+++ b/anisefront/servers.py
@@ -19,6 +19,7 @@
 ZONE_COST = 1.15  # a server of another zone must be so much better
 LEAST_CHOICE, CHOICE_PER_SEND = 2.0, 4.0  # servers compared; more for each recent send of ours to each server
 UTIL_LOAD, REPORT_MEMORY_MS = 2.0, 1000.0  # attempts that full use counts as; a report ages
+SHARERS = 12  # gateways that send to one server before others: so many share what it does
 COLD_FAILING, TOSS_MS = 0.5, 1000.0  # a cold server that fails more is passed by; a new chance for a request
 FLEET_MEMORY_MS = 30_000.0  # over which the warm fleet of late counts as what carries the load
 
@@ -57,6 +58,28 @@
                 (self.warm if share >= 1 else self.cold).append(backend)
                 self.capacity += share
         self.reference = max(self.capacity, self.reference)
+        self.near = self.part_of(self.warm)
+
+    def part_of(self, servers: list[Backend]) -> list[Backend]:
+        """Those that this gateway sends to before others: of a large fleet not all, or each of its servers
+        would hold connections of every gateway, most of them used once or twice before they are closed.
+
+        They stand in a ring, the zones mixed, and the gateways' parts begin at even distances: so each server
+        is in the parts of as many gateways, and where one comes or goes, parts move on by little. Gateways in
+        a row share customers; their parts lie far apart."""
+        gateways, size = self.settings.gateways, len(servers)
+        length = math.ceil(size * SHARERS / gateways)
+        if length >= size:
+            return servers
+        zones: dict[str, list[Backend]] = {}
+        for backend in sorted(servers, key=lambda one: (server_tag(one.entry.id), one.entry.id)):
+            zones.setdefault(backend.entry.zone, []).append(backend)
+        places = [((n + 0.5) / len(zone), name, backend)
+                  for name, zone in zones.items() for n, backend in enumerate(zone)]
+        ring = [backend for _, _, backend in sorted(places, key=lambda place: place[:2])]
+        step = next(n for n in range(round(gateways * 0.618), gateways) if math.gcd(n, gateways) == 1)
+        start = self.settings.number * step % gateways * size // gateways
+        return [ring[(start + n) % size] for n in range(length)]
 
     def step(self, now: float) -> None:
         """One period has gone by."""
@@ -89,6 +112,10 @@
     def choose(self, now: float, request: Request, group: list[Backend] | None) -> Backend | None:
         """A server for one more attempt. `group`: the only ones that rule 2 allows, where it binds."""
         warm = self.warm if group is None else [backend for backend in self.warm if backend in group]
+        if group is None and self.near is not self.warm:
+            good = [backend for backend in self.near
+                    if self.failing(now, backend, request.kind.name) < COLD_FAILING]
+            warm = good if 2 * len(good) > len(self.near) else warm  # a part that fails: all, then
         name, best, best_cost = request.kind.name, None, math.inf
         if self.cold and now >= request.toss_ms:
             # Danger: a cold server falls over for good when all gateways overdo it. So chance decides, once
--- a/anisefront/state.py
+++ b/anisefront/state.py
@@ -154,6 +154,7 @@
     by_tag: dict[int, Backend] = field(default_factory=dict)
     warm: list[Backend] = field(default_factory=list)  # ready and warm; ready and cold
     cold: list[Backend] = field(default_factory=list)
+    near: list[Backend] = field(default_factory=list)  # of the warm ones, those that are ours before others
     capacity: float = 0.0  # warmth of those ready in sum, now and of late
     reference: float = 0.0
     sends: float = 0.0  # fading count of our sends
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -33,7 +33,9 @@
     Woken,
 )
 from anisefront.quota import FORGET_MS, store_name
+from anisefront.servers import Servers
 from anisefront.share import CENTRES, FuzzyShare
+from anisefront.state import Backend
 
 FLEET = Fleet(tuple(Server(f"s{n}", f"z{n % 2}", n % 4, State.READY) for n in range(6)))
 
@@ -450,6 +452,63 @@
     assert sum(lent[:25]) >= 13  # in 0.5 s: 8 that were sure at the start, and 6 that came since
 
 
+def parts(gateways, servers):
+    return [Servers(settings(number=n, gateways=gateways), random.Random(1), ["look"]).part_of(servers)
+            for n in range(gateways)]
+
+
+def backends(count, zones=2):
+    return [Backend(Server(f"10.0.{n % 7}.{n}:80", f"z{n % zones}", 0, State.READY)) for n in range(count)]
+
+
+@pytest.mark.parametrize("gateways", (1, 3, 12))
+def test_few_gateways_send_to_all_servers(gateways):
+    servers = backends(60)
+    assert all(part is servers for part in parts(gateways, servers))
+
+
+@pytest.mark.parametrize(("gateways", "count"), ((40, 60), (40, 36), (40, 7), (16, 60), (47, 53), (300, 60)))
+def test_the_gateways_of_a_large_fleet_share_out_its_servers_evenly(gateways, count):
+    servers = backends(count)
+    shares = parts(gateways, servers)
+    times = [sum(one in part for part in shares) for one in servers]
+    assert min(times) >= 12 - 3 and max(times) <= 2 * 12 and max(times) - min(times) <= 0.5 * max(times)
+    assert len({len(part) for part in shares}) == 1 and all(len(set(map(id, part))) == len(part)
+                                                            for part in shares)
+    for part in shares:  # both halls, as near as may be
+        assert abs(sum(one.entry.zone == "z0" for one in part) - len(part) / 2) <= 1.5
+    if count == 60 and gateways == 40:  # gateways in a row have most of the same customers
+        ids = [{*map(id, part)} for part in shares]
+        assert all(len(a & b) < 9 for a, b in zip(ids, ids[1:], strict=False))
+
+
+def test_a_server_that_leaves_moves_the_parts_by_little():
+    servers = backends(60)
+    before, after = parts(40, servers), parts(40, servers[:20] + servers[21:])
+    moved = sum(one not in old for old, new in zip(before, after, strict=True) for one in new)
+    assert moved <= 0.15 * 40 * 18
+
+
+def test_a_gateway_whose_part_fails_sends_to_all():
+    """A zone is lost, or a release takes most of them, and the list does not say so yet."""
+    c = gateway(gateways=40)
+    servers = tuple(Server(f"s{n}", f"z{n % 2}", 0, State.READY) for n in range(60))
+    c.handle(1000, [Fleet(servers)])
+    near, now, sent = {one.entry.id for one in c.servers.near}, 1000.0, []
+    assert len(near) == 18
+    for number in range(1, 200):
+        now += 50
+        customer = Arrival(number, f"c{number}", "seat", "rated", now + 2000, 1, 0, 3)
+        sends = of(Send, c.handle(now, [Woken("agenda"), customer]))
+        assert number > 1 or {send.server for send in sends} <= near
+        sent += [send.server for send in sends]
+        more = of(Send, c.handle(now + 1, [
+            outcome(send, Result.CONNECT_FAILED if send.server in near else Result.OK) for send in sends]))
+        sent += [send.server for send in more]
+        c.handle(now + 2, [outcome(send, Result.OK, 1) for send in more])
+    assert sum(server not in near for server in sent[-40:]) >= 25
+
+
 def test_a_ceiling_beside_a_quota_of_attempts_alone_starts_empty():
     """Such a quota does not bound what was sent on before."""
     plans = (Plan("capped", max_out=4, ceiling_per_s=4, ceiling_burst=40, ceiling_slack=2),)
