Let six gateways share a server in the ring, not twelve

Ruled out as a risk: uneven parts (each server is in 6 or 7 parts with 40 gateways and 60, 36 or 53 servers). Up to 6 gateways all is as before.

--- a/anisefront/servers.py
+++ b/anisefront/servers.py
@@ -19,7 +19,7 @@
 ZONE_COST = 1.15  # a server of another zone must be so much better
 LEAST_CHOICE, CHOICE_PER_SEND = 2.0, 4.0  # servers compared; more for each recent send of ours to each server
 UTIL_LOAD, REPORT_MEMORY_MS = 2.0, 1000.0  # attempts that full use counts as; a report ages
-SHARERS = 12  # gateways that send to one server before others: so many share what it does
+SHARERS = 6  # gateways that send to one server before others: so many share what it does
 COLD_FAILING, TOSS_MS = 0.5, 1000.0  # a cold server that fails more is passed by; a new chance for a request
 FLEET_MEMORY_MS = 30_000.0  # over which the warm fleet of late counts as what carries the load
 
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -33,7 +33,7 @@
     Woken,
 )
 from anisefront.quota import FORGET_MS, store_name
-from anisefront.servers import Servers
+from anisefront.servers import SHARERS, Servers
 from anisefront.share import CENTRES, FuzzyShare
 from anisefront.state import Backend
 
@@ -461,7 +461,7 @@
     return [Backend(Server(f"10.0.{n % 7}.{n}:80", f"z{n % zones}", 0, State.READY)) for n in range(count)]
 
 
-@pytest.mark.parametrize("gateways", (1, 3, 12))
+@pytest.mark.parametrize("gateways", (1, 3, SHARERS))
 def test_few_gateways_send_to_all_servers(gateways):
     servers = backends(60)
     assert all(part is servers for part in parts(gateways, servers))
@@ -472,21 +472,21 @@
     servers = backends(count)
     shares = parts(gateways, servers)
     times = [sum(one in part for part in shares) for one in servers]
-    assert min(times) >= 12 - 3 and max(times) <= 2 * 12 and max(times) - min(times) <= 0.5 * max(times)
+    assert min(times) >= SHARERS and max(times) - min(times) <= 1
     assert len({len(part) for part in shares}) == 1 and all(len(set(map(id, part))) == len(part)
                                                             for part in shares)
     for part in shares:  # both halls, as near as may be
         assert abs(sum(one.entry.zone == "z0" for one in part) - len(part) / 2) <= 1.5
     if count == 60 and gateways == 40:  # gateways in a row have most of the same customers
         ids = [{*map(id, part)} for part in shares]
-        assert all(len(a & b) < 9 for a, b in zip(ids, ids[1:], strict=False))
+        assert all(len(a & b) < SHARERS for a, b in zip(ids, ids[1:], strict=False))
 
 
 def test_a_server_that_leaves_moves_the_parts_by_little():
     servers = backends(60)
     before, after = parts(40, servers), parts(40, servers[:20] + servers[21:])
     moved = sum(one not in old for old, new in zip(before, after, strict=True) for one in new)
-    assert moved <= 0.15 * 40 * 18
+    assert moved <= 0.15 * sum(map(len, before))
 
 
 def test_a_gateway_whose_part_fails_sends_to_all():
@@ -495,7 +495,7 @@
     servers = tuple(Server(f"s{n}", f"z{n % 2}", 0, State.READY) for n in range(60))
     c.handle(1000, [Fleet(servers)])
     near, now, sent = {one.entry.id for one in c.servers.near}, 1000.0, []
-    assert len(near) == 18
+    assert len(near) == 9
     for number in range(1, 200):
         now += 50
         customer = Arrival(number, f"c{number}", "seat", "rated", now + 2000, 1, 0, 3)
