Open a broken watch anew at once where lists are pushed, in a fleet of any size

What an agent has counts as told meanwhile, so after a watch that is reset, or a new address that is silent at first, new work would also go to workers that drain.

At fault: Pace.after_failure_s and the times of a watch in plumpick/discovery.py, which took discovery for a service that the fleet shares, whatever the settings say. Where lists are pushed there is now one caller until somebody is turned away (503 or 429), and between failed calls it waits no longer than a quarter of rules.drainGraceMs.

--- a/anisefront/interface.py
+++ b/anisefront/interface.py
@@ -126,6 +126,7 @@
     max_retry_after_ms: float = 0.0
     inbox_per_s: float = 0.0
     ask_within_ms: float = 10_000.0
+    drain_grace_ms: float = 1000.0  # so long after word of a drain what is new may still go there
     report_how: str = "none"
     report_fields: tuple[str, ...] = ()
     cross_zone_price: float = 0.0
@@ -139,7 +140,8 @@
         _refuse_below(1, gateways=self.gateways, max_attempts=self.max_attempts)
         _refuse_below(0, number=self.number, warm_up_ms=self.warm_up_ms, cold_from=self.cold_from,
                       fall_multiple=self.fall_multiple, fall_window_ms=self.fall_window_ms,
-                      max_units=self.max_units, inbox_per_s=self.inbox_per_s)
+                      max_units=self.max_units, inbox_per_s=self.inbox_per_s,
+                      drain_grace_ms=self.drain_grace_ms)
         if self.number >= self.gateways:
             raise ValueError(f"number: {self.number} is not below gateways ({self.gateways})")
 
--- a/anisefront/settings.py
+++ b/anisefront/settings.py
@@ -98,6 +98,7 @@
         warm_up_ms=rules.number("warmUpMs"), cold_from=rules.number("coldFrom"),
         fall_multiple=rules.number("fallMultiple"), fall_window_ms=rules.number("tipAfterMs"),
         ask_within_ms=rules.number("askWithinMs", 10_000.0),
+        drain_grace_ms=rules.number("drainGraceMs", 1000.0),
         max_attempts=int(limits.number("maxAttempts")), tick_ms=top.number("tickMs", 1.0),
         max_units=domain.number("maxUnits", 1.0), may_cancel=limits.flag("cancel", False),
         may_tell=limits.flag("mayTell", False), may_probe=limits.flag("probing", False),
--- a/plumpick/__main__.py
+++ b/plumpick/__main__.py
@@ -62,8 +62,10 @@
     handover = Handover(gatekeeper)
     await handover.find()
     known = config.known.index if config.known.entries else None
-    discovery = Discovery(config.discovery, gatekeeper.listed, known, fleet=config.settings.gateways,
-                          seed=config.seed)
+    settings = config.settings
+    discovery = Discovery(config.discovery, gatekeeper.listed, known, fleet=settings.gateways,
+                          seed=config.seed, pushed=not settings.must_subscribe,
+                          grace_s=settings.drain_grace_ms / 1000)
     tasks = [loop.create_task(discovery.run()), loop.create_task(reload(config, discovery, reload_asked))]
     try:
         await asyncio.wait_for(discovery.listed.wait(), FIRST_LIST_S)
@@ -76,7 +78,7 @@
     log.info("gatekeeper %s is up", config.name)
 
     await stop.wait()
-    longest_s = max(kind.deadline_ms for kind in config.settings.classes) / 1000
+    longest_s = max(kind.deadline_ms for kind in settings.classes) / 1000
     end_s = min(longest_s, SURE_MOST_S) + SURE_MORE_S - SPARE_S
     gatekeeper.leave(end_s * 1000)
     last = loop.time() + max(LEAST_S, end_s - LAST_S)
--- a/plumpick/discovery.py
+++ b/plumpick/discovery.py
@@ -1,12 +1,14 @@
 """Discovery: a list to begin with, then a watch for changes, for as long as the gatekeeper runs.
 
-It is one service for the whole fleet, and turns callers away when they are too many."""
+Where lists are pushed, the address is taken for an agent's of this gatekeeper's own, which answers at once
+and at no cost; where they are asked for, or callers are turned away, for one service of the whole fleet."""
 
 from __future__ import annotations
 
 import asyncio
 import json
 import logging
+import math
 import random
 from collections.abc import Callable
 
@@ -20,9 +22,10 @@
 TURN_S = 3.0  # for an answer without a watch: calls wait their turn, and one given up has had it for nothing
 WATCH_MS, WATCH_SPARE_S = 5000, 1.0  # a watch waits so long; one that is so much late is broken
 FIRST_WAIT_S, MOST_WAIT_S = 0.02, 0.5  # between calls that fail; it doubles up to the bound
-FLEET, MOST_TIMES = 5, 8.0  # in a larger fleet a watch is longer in proportion, up to so many times
-# In a larger fleet each gatekeeper calls again within so long for each further one; with no answer since its
-# start, whose list may be old, at first within less.
+GRACE_PART = 0.25  # or, where lists are pushed, up to so much of the grace after word of a drain
+FLEET, MOST_TIMES = 5, 8.0  # with more callers a watch is longer in proportion, up to so many times
+# With more callers each calls again within so long for each further one; with no answer since its start,
+# whose list may be old, at first within less.
 CALM_EACH_S, HURRY_EACH_S = 0.8, 0.25
 LEAST_GAP_S = 0.05  # between answers that bring nothing, should they come at once
 MAX_ANSWER = 8 * 1024 * 1024
@@ -59,24 +62,35 @@
 
 
 class Pace:
-    """When to call, so that a large fleet does not call all at once.
+    """When to call, so that a large fleet does not call a service that all share all at once.
 
-    Discovery serves one call after the other and turns away who has waited 2 s, but has the work of it all
-    the same. So once more calls come than it serves, all of them wait in vain, and go on doing so until they
-    become fewer."""
+    Such a service answers one call after the other and turns away who has waited 2 s, but has the work of it
+    all the same. So once more calls come than it serves, all of them wait in vain, and go on doing so until
+    they become fewer. Of an agent we are the only caller: what it has counts as told to us, heard or not, so
+    waiting for the sake of others gains nothing and is paid for with an old list."""
 
-    def __init__(self, fleet: int, rng: random.Random) -> None:
-        self._rng, self._others, self._failures, self._each_s = rng, max(0, fleet - FLEET), 0, HURRY_EACH_S
+    def __init__(self, fleet: int, rng: random.Random, *, alone: bool = False,
+                 most_wait_s: float = MOST_WAIT_S) -> None:
+        self._fleet, self._rng, self._most_wait_s = fleet, rng, most_wait_s
+        self._callers, self._failures, self._each_s = 1 if alone else fleet, 0, HURRY_EACH_S
 
     def worked(self) -> None:
         """A call has been answered: from now on a list is known that is not old."""
         self._failures, self._each_s = 0, CALM_EACH_S
 
+    def turned_away(self) -> None:
+        """There are too many callers, so we were not the only one."""
+        self._callers = self._fleet
+
+    def watch_ms(self) -> int:
+        """How long a watch may wait for news."""
+        return int(WATCH_MS * min(MOST_TIMES, max(1.0, self._callers / FLEET)))
+
     def after_failure_s(self) -> float:
         """To wait before the next call."""
         times, self._failures = 2.0 ** min(self._failures, 10), self._failures + 1
-        spread_s = min(CALM_EACH_S, self._each_s * times) * self._others
-        wait_s = min(MOST_WAIT_S, FIRST_WAIT_S * times) * self._rng.uniform(0.5, 1.5)
+        spread_s = min(CALM_EACH_S, self._each_s * times) * max(0, self._callers - FLEET)
+        wait_s = min(self._most_wait_s, FIRST_WAIT_S * times) * self._rng.uniform(0.5, 1.5)
         return wait_s + self._rng.uniform(0, spread_s)
 
 
@@ -84,11 +98,13 @@
     """Watches the list of workers and passes on all that it is told."""
 
     def __init__(self, address: Address, told: Callable[[WorkerList], None], known: int | None = None, *,
-                 fleet: int = 1, seed: int | None = None) -> None:
+                 fleet: int = 1, seed: int | None = None, pushed: bool = False,
+                 grace_s: float = math.inf) -> None:
         self._address, self._told = address, told
         self._index = known  # version of the list that is known; None: the whole list is asked for
-        self._times = min(MOST_TIMES, max(1.0, fleet / FLEET))
-        self._pace = Pace(fleet, random.Random(seed))
+        # An agent that is back has news that binds: it is not left uncalled for longer than is allowed then.
+        most_wait_s = min(MOST_WAIT_S, grace_s * GRACE_PART) if pushed else MOST_WAIT_S
+        self._pace = Pace(fleet, random.Random(seed), alone=pushed, most_wait_s=most_wait_s)
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
         self._quiet = False  # a failure has been logged, and no success since
@@ -139,15 +155,18 @@
                     if index is not None and watch_ms > 1 and not news.entries \
                             and loop.time() - asked_s < LEAST_GAP_S:
                         await asyncio.sleep(LEAST_GAP_S)
-                    watch_ms = int(WATCH_MS * self._times)
+                    watch_ms = self._pace.watch_ms()
                 except CallFailed as problem:
                     self._hang_up()
                     if not self._quiet:
                         log.warning("discovery: %s", problem)
                     self._quiet = True
-                    # Who turns callers away is there: the next call may wait for news, and be the only one.
-                    watch_ms = int(WATCH_MS * self._times) if isinstance(problem, TurnedAway) else 1
-                    if isinstance(problem, OddAnswer):
+                    watch_ms = 1
+                    if isinstance(problem, TurnedAway):
+                        self._pace.turned_away()
+                        # Whoever does that is there: the next call may wait for news, and be the only one.
+                        watch_ms = self._pace.watch_ms()
+                    elif isinstance(problem, OddAnswer):
                         self._index = None
                     await asyncio.sleep(self._pace.after_failure_s())
         finally:
--- a/tests/test_surroundings.py
+++ b/tests/test_surroundings.py
@@ -10,7 +10,7 @@
 
 from plumpick.clock import Alarms, Clock
 from plumpick.config import WorkerList, config_from
-from plumpick.discovery import Discovery, Pace, TurnedAway
+from plumpick.discovery import CallFailed, Discovery, Pace, TurnedAway
 from plumpick.peers import Peers
 
 WATCH = "/discovery/hosts?since={}&timeout_ms=5000"
@@ -145,6 +145,45 @@
         assert all(one[0] < 30 for one in gateways)
 
 
+@pytest.mark.parametrize("fleet", (1, 3, 40, 200))
+@pytest.mark.parametrize("grace_s", (0.25, 2.0))
+def test_where_lists_are_pushed_a_broken_watch_is_open_again_within_the_grace(fleet, grace_s, monkeypatch):
+    """Seen in a fleet of 200: a watch that fell silent was given up after 41 s and opened anew up to 150 s
+    later. What an agent on the own machine has counts as told, so nobody waits for the others there."""
+    async def gateway(seed):
+        failures = iter([CallFailed("the connection ended")] * 12)
+        waits, targets = [], []
+
+        async def sleep(seconds):
+            waits.append(seconds)
+
+        async def call(target, _limit_s):
+            targets.append(target)
+            if len(targets) == 1:
+                return WorkerList(41, False, ())
+            raise next(failures, asyncio.CancelledError())
+        discovery = Discovery((HOST, 9), print, 41, fleet=fleet, seed=seed, pushed=True, grace_s=grace_s)
+        discovery._call = call
+        with monkeypatch.context() as patch:
+            patch.setattr("plumpick.discovery.asyncio.sleep", sleep)
+            await asyncio.gather(discovery._watch(), return_exceptions=True)
+        assert targets[1] == WATCH.format(41)
+        assert len(waits) == 12 and waits[0] < 0.05 and max(waits) < grace_s / 2
+
+    async def scenario():
+        for seed in range(fleet):
+            await gateway(seed)
+    run(scenario())
+
+
+def test_where_somebody_turns_callers_away_it_is_not_an_agent_of_ours():
+    pace = Pace(40, random.Random(1), alone=True)
+    alone = max(pace.after_failure_s() for _ in range(20)), pace.watch_ms()
+    pace.turned_away()
+    assert alone == (pytest.approx(0.5, abs=0.25), 5000)
+    assert max(pace.after_failure_s() for _ in range(20)) > 5 and pace.watch_ms() == 40_000
+
+
 def test_after_a_start_the_first_call_is_made_again_sooner():
     """Its list may be an old one, and the others have theirs."""
     started, settled = [Pace(40, random.Random(seed)) for seed in range(40)], \
