Read on behind an open request, so that a client which leaves is noticed

From reading: where a client had sent more than its request, its connection was read no further until the answer (ClientConnection._pipelined), and the end of the connection stays behind the unread bytes. What comes behind an open request is now read and dropped; it holds no memory, and the 400 behind the answer stays.

The test sends 4 MB behind a request and closes: before the module was never told (the test failed after its 5 s), now the request's turn is moot.

--- a/plumpick/clients.py
+++ b/plumpick/clients.py
@@ -77,7 +77,9 @@
             self.heard = True
             return
         if self.request is not None and not self.begun:
-            self._pipelined()
+            # Pipelined. The open request gets its own answer first, then a 400 follows. What comes is read
+            # and dropped: were it left unread, nobody would notice that the client has gone.
+            self.excess = True
             return
         self.turned_away = False
         try:
@@ -86,8 +88,7 @@
             self.bad = self.bad or 400
         self.size += len(data)
         if self.request is not None and not self.begun:
-            if self.bad or self.excess:
-                self._pipelined()
+            self.excess = self.excess or bool(self.bad)
         elif self.bad or self.excess:
             self.break_off(self.bad or 400)
         elif self.turned_away:  # it was whole: its size says nothing about the next
@@ -97,11 +98,6 @@
         elif self.size > RAW_SPARE + RAW_PART * self.body_size:  # the parser passes over extensions of chunks
             self.break_off(413)
 
-    def _pipelined(self) -> None:
-        """More has come before the answer. The open request gets its own answer first, then a 400 follows."""
-        self.excess = True
-        self.transport.pause_reading()  # type: ignore[union-attr]
-
     def eof_received(self) -> None:
         """A client that ends its sending has gone away: the connection closes."""
 
--- a/tests/test_gatekeeper.py
+++ b/tests/test_gatekeeper.py
@@ -232,6 +232,21 @@
     one_worker(scenario)
 
 
+def test_a_client_that_sends_much_behind_its_request_and_leaves_is_told_to_the_module():
+    """The bytes behind it were left unread, and so was the end of the connection behind them: its request
+    went out when its turn came, though nobody waited for it any more."""
+    async def scenario(worker, gate, client):
+        client.send(request() + b"x" * (4 << 20))
+        came = await gate.script.event(Arrival)
+        client.writer.write_eof()
+        async with asyncio.timeout(5):
+            assert (await gate.script.event(ClientGone)).id == came.id
+        gate.script.to_do = [Send(came.id, "w1", 9000.0)]
+        gate.keeper.notice(Woken("its turn"))
+        assert (await gate.script.event(Outcome)).result is Result.MOOT and worker.connections == 0
+    one_worker(scenario, worker=None)
+
+
 def test_the_last_guard_answers_before_the_deadline():
     async def scenario(worker, gate, client):
         status, _, _ = await client.send(request(deadline=60)).answer()
