End an attempt that has no connection yet together with its request

From reading: client_gone ended only attempts whose body was still to come. An attempt that waits for its connection went out once that was up: where calling off is not allowed, or where the guard had answered in the module's place (the module closes it on ClientGone and calls off, where it may). Ruled out: attempts on a kept connection are written in the turn of their send.

Gatekeeper._close is the one place where a request ends, so it now ends what of it has not begun, as moot: never run, and no word on the worker. The test failed for all three ways to end (client, guard, another copy) before.

--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -168,12 +168,17 @@
         if not self._close(request):
             return
         self.notice(ClientGone(request.id))
-        for attempt in [one for one in self.attempts.values() if one.request_id == request.id]:
+        for attempt in self._out(request):
             if attempt.upload is not None and not attempt.upload.whole:
                 attempt.end(Result.CONNECT_FAILED)
             elif attempt.number == request.passing:
                 attempt.end(Result.CANCELLED)
 
+    def _out(self, request: Request) -> list[Attempt]:
+        """The attempts of a request that are out."""
+        keys = ((request.id, number) for number in range(request.sends))
+        return [self.attempts[key] for key in keys if key in self.attempts]
+
     def take(self, client: ClientConnection) -> Request:
         """A request has come in, whole or with the rest of a large body to come: from its last byte on it is
         owed one final answer."""
@@ -218,19 +223,25 @@
         now = self.clock.now()
         due_ms = self._due(now, request.wait_ms)
         request.guard = self.alarms.at(due_ms - GUARD_MS, lambda: self._overdue(request))
-        for attempt in [one for one in self.attempts.values() if one.request_id == request.id]:
+        for attempt in self._out(request):
             attempt.started_ms = now
             self.workers.allow(attempt, due_ms - MARGIN_MS - now)
         self.notice(Whole(request.id, due_ms - MARGIN_MS))
 
     def _close(self, request: Request) -> bool:
-        """Take a request off the table; False if it has had its final answer before."""
+        """Take a request off the table; False if it has had its final answer before.
+
+        What was sent of it runs on, until it is called off or answered. An attempt whose connection is not up
+        yet ends here: there is nobody any more whom it could serve."""
         if self.open.pop(request.id, None) is None:
             return False
         self._names.discard(request.name)
         self._ended_names[0].add(request.name)
         if request.guard is not None:
             request.guard.cancel()
+        for attempt in self._out(request):
+            if attempt.dial is not None:
+                attempt.end(Result.MOOT)
         return True
 
     def _finish(self, request: Request, how: str, status: int, body: bytes = b"", kind: bytes = b"",
--- a/tests/test_gatekeeper.py
+++ b/tests/test_gatekeeper.py
@@ -424,17 +424,56 @@
     one_worker(scenario)
 
 
+def hold_dials(gate):
+    """From now on a connection to a worker comes up when the second event says so; the first: one is due."""
+    loop, opened, go = asyncio.get_running_loop(), asyncio.Event(), asyncio.Event()
+
+    async def slow(factory, host, port):
+        opened.set()
+        await go.wait()
+        return await loop.create_connection(factory, host, port)
+    gate.keeper.workers._loop = type("Loop", (), {
+        "create_task": staticmethod(loop.create_task), "create_connection": staticmethod(slow),
+        "call_soon": staticmethod(loop.call_soon)})
+    return opened, go
+
+
+@pytest.mark.parametrize("end", ("the client leaves", "the guard answers", "another copy answers"))
+def test_an_attempt_that_waits_for_a_connection_ends_with_its_request(end):
+    """Where calling off is not allowed, or the guard answered in the module's place, it went out once the
+    connection was up, for a client that had left."""
+    async def scenario(worker, gate, client):
+        deadline = 60 if end == "the guard answers" else 10_000
+        if end == "another copy answers":
+            client.send(request())
+            _, first = await worker.asked()
+            opened, go = hold_dials(gate)
+            gate.script.to_do = [Send((await gate.script.event(Arrival)).id, "w1", 9000.0)]
+            gate.keeper.notice(Woken("hedge"))
+        else:
+            opened, go = hold_dials(gate)
+            client.send(request(deadline=deadline))
+        await opened.wait()
+        if end == "the client leaves":
+            client.close()
+            await gate.script.event(ClientGone)
+        elif end == "another copy answers":
+            first.write(answer())
+            assert (await client.answer())[0] == 200
+        else:
+            assert (await client.answer())[0] == 504
+        go.set()
+        done = await gate.script.event(Outcome)
+        assert (done.result, done.final) == (Result.MOOT, True)
+        while gate.keeper.workers._connections > len(gate.keeper.workers._known["w1"].idle):
+            await asyncio.sleep(0)
+        assert worker.requests.empty() and not gate.keeper.attempts
+    one_worker(scenario)
+
+
 def test_an_attempt_that_waits_for_a_connection_is_not_written_after_word_of_a_drain():
     async def scenario(worker, gate, client):
-        loop, opened, go = asyncio.get_running_loop(), asyncio.Event(), asyncio.Event()
-
-        async def slow(factory, host, port):
-            opened.set()
-            await go.wait()
-            return await loop.create_connection(factory, host, port)
-        gate.keeper.workers._loop = type("Loop", (), {
-            "create_task": staticmethod(loop.create_task), "create_connection": staticmethod(slow),
-            "call_soon": staticmethod(loop.call_soon)})
+        opened, go = hold_dials(gate)
         client.send(request())
         await opened.wait()
         news = listing(entry("w1", worker.port, "draining"), index=2, snapshot=False)
