Let a connection to a worker rest 10 ms before it is used again

One that falls on such a connection is answered with what was made for another request, which loses it.

Ruled out: telling the two by what comes, as an answer names no request; and bytes that wait already are seen (is_quiet).

The new test fails with 2 ms (the client gets the late bytes). The test of the rest asserted the old figure; it now asserts the new one in the same way.

--- a/plumpick/workers.py
+++ b/plumpick/workers.py
@@ -28,7 +28,9 @@
 MAX_PER_WORKER = 128  # connections to one worker, in use or idle
 MAX_IDLE = 24  # idle ones kept to one worker
 SWEEP_MS = 1000.0
-REST_MS = 2.0  # a connection is used again after so long: what comes right behind an answer shows by then
+# A connection is used again after so long: a second answer, which would be taken for the next request's, may
+# come some milliseconds late (seen: up to 3.8), and shows by then.
+REST_MS = 10.0
 MOST_LOAD = 1e6  # a field of a load report beyond that, or below nothing, is no report
 WHOLE_WRITE = 8 * 1024  # a request up to this size fits the empty buffer of any socket
 
--- a/tests/test_gatekeeper.py
+++ b/tests/test_gatekeeper.py
@@ -330,8 +330,28 @@
         workers = gate.keeper.workers
         connection, = workers._known["w1"].idle
         since = connection.idle_since_ms
-        assert workers._kept(connection.worker, since + 1.9) is None
-        assert workers._kept(connection.worker, since + 2.1) is connection
+        assert workers._kept(connection.worker, since + 9.9) is None
+        assert workers._kept(connection.worker, since + 10.1) is connection
+    one_worker(scenario)
+
+
+def test_a_second_answer_some_milliseconds_late_is_no_other_requests_answer():
+    """Seen: of 100 uses of a kept connection 1 or 2 came 2 to 5 ms after its answer, and second answers come
+    1 to 4 ms late."""
+    async def scenario(worker, gate, client):
+        now_ms = gate.keeper.clock.now()
+        gate.keeper.workers.clock = type("Still", (), {"now": staticmethod(lambda: now_ms)})
+        client.send(request())
+        _, first = await worker.asked()
+        first.write(answer(body=b"first"))
+        assert (await client.answer())[2] == b"first"
+        now_ms += 5
+        client.send(request())
+        _, writer = await worker.asked()
+        first.write(answer(body=b"second"))  # late, and by now another request is out
+        writer.write(answer(body=b"other"))
+        assert (await client.answer())[2] == b"other"
+        assert (await worker.asked())[0] is None  # the connection that it came on has ended
     one_worker(scenario)
 
 
