Read what has come on a connection before it is closed as idle or for room

From reading: close_if_idle and make_room go by what the loop has read. A request that is here and not read yet then crosses the close, and a close with unread bytes resets the connection. Such a moment is the whole turn of the loop, up to some milliseconds on a slow core.

At fault: ClientConnection.close_if_idle and Admission.make_room. Both now ask the socket (poll, no wait) and leave a connection on which something waits to the next turn. What is over the limit for that turn is bounded as before, by the hard limit.

The test sends a request without letting the loop run, then closes; all four cases failed before.

--- a/plumpick/admission.py
+++ b/plumpick/admission.py
@@ -81,12 +81,16 @@
 
     def make_room(self) -> None:
         """Over the limit those go that are of least use: who has been refused, who has been quiet for longest
-        without ever asking, who has been idle for longest. Who has a request open stays."""
+        without ever asking, who has been idle for longest. Who has a request open stays, and so does who has
+        just sent what may be one: that is read first."""
         for table in (self._leaving, self._owing, self._idle):
-            while table and len(self.all) > self.most:
-                client = next(iter(table))
+            for client in list(table) if len(self.all) > self.most else ():
+                if table is not self._leaving and client.unread():
+                    continue
                 self.left(client)
                 client.drop()
+                if len(self.all) <= self.most:
+                    break
 
     def sweep(self, now: float, ending: bool) -> None:
         """Close what has had its time."""
--- a/plumpick/clients.py
+++ b/plumpick/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from typing import TYPE_CHECKING, Any
 
 import httptools
@@ -374,9 +375,19 @@
 
     # -- what the admission asks of it
 
+    def unread(self) -> bool:
+        """Whether something has come that the loop has not read yet: bytes, or the connection's end."""
+        plug = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if plug is None or self.paused or self.transport.is_closing():  # type: ignore[union-attr]
+            return False
+        watched = select.poll()
+        watched.register(plug.fileno(), select.POLLIN)
+        return bool(watched.poll(0))
+
     def close_if_idle(self) -> None:
-        """Between requests a connection may be closed; not while one is open or coming in."""
-        if self.request is None and not self.begun and not self.ending:
+        """Between requests a connection may be closed; not while one is open, coming in or here unread: that
+        one would be reset, and its client would have to come again."""
+        if self.request is None and not self.begun and not self.ending and not self.unread():
             self._close()
 
     def is_slow(self, now: float, spare_ms: float, per_ms: float) -> bool:
--- a/tests/test_gatekeeper.py
+++ b/tests/test_gatekeeper.py
@@ -3,6 +3,8 @@
 import asyncio
 import gc
 import json
+import os
+import select
 import weakref
 
 import pytest
@@ -770,6 +772,35 @@
     one_worker(scenario)
 
 
+def sent_unread(client, conn):
+    """Send a request so that it is here and the loop has not read it: nothing else has run since."""
+    os.write(client.writer.get_extra_info("socket").fileno(), request())
+    while not select.select([conn.transport.get_extra_info("socket")], [], [], 5)[0]:
+        pass
+
+
+@pytest.mark.parametrize("close", ("at the end", "in a crowd"))
+@pytest.mark.parametrize("asked_before", (True, False))
+def test_a_connection_with_a_request_that_is_not_read_yet_is_not_closed(close, asked_before):
+    async def scenario(worker, gate, client):
+        if asked_before:
+            await exchange(worker, client)
+        else:
+            await taken(gate, 1)
+        conn, = gate.keeper.admission.all
+        sent_unread(client, conn)
+        if close == "at the end":
+            gate.keeper.drain()
+            gate.keeper.close_idle()
+        else:
+            gate.keeper.admission.most = 0
+            gate.keeper.admission.make_room()
+        _, writer = await worker.asked()
+        writer.write(answer())
+        assert (await client.answer())[0] == 200
+    one_worker(scenario)
+
+
 def test_hundreds_that_connect_at_once_do_not_keep_others_out():
     async def scenario(worker, gate, client):
         admission = gate.keeper.admission
