Accept what waits in the queue before the clients' listener closes

From reading: at the planned end Handover.close closed the listening socket with what was in its accept queue; the system resets these connections, and with them requests that have been written whole to them, which count as taken by this machine. The queue is now emptied into the loop before the socket closes, and these connections are served like the others. Where another process serves by then, the queue is its own.

The test writes a request to a connection that is not accepted yet, then closes; it failed before (no answer).

--- a/plumpick/__main__.py
+++ b/plumpick/__main__.py
@@ -84,7 +84,7 @@
     last = loop.time() + max(LEAST_S, end_s - LAST_S)
     while loop.time() < last and (gatekeeper.holds() or not handover.left):
         await asyncio.sleep(STEP_S)
-    handover.close()
+    await handover.close()
     gatekeeper.drain()
     gatekeeper.close_idle()
     end = loop.time() + TO_FINISH_S
--- a/plumpick/handover.py
+++ b/plumpick/handover.py
@@ -304,12 +304,21 @@
         self._keeper.take_back()
         self._spawn(self._serve())
 
-    def close(self) -> None:
-        """Accept nothing more."""
+    async def close(self) -> None:
+        """Accept nothing more than what waits in the queue: with the socket it would be reset, and with it
+        the requests that may have been written to it."""
         self._stop_accepting()
-        if self._listener is not None:
-            self._listener.close()
-            self._listener = None
+        if self._listener is None:
+            return
+        while not self.left:
+            try:
+                plug, _ = self._listener.accept()
+            except OSError:  # the queue is empty
+                break
+            plug.setblocking(False)
+            await self._loop.connect_accepted_socket(lambda: ClientConnection(self._keeper), plug)
+        self._listener.close()
+        self._listener = None
 
     def hang_up(self) -> None:
         """The end of this process."""
--- a/tests/test_gatekeeper.py
+++ b/tests/test_gatekeeper.py
@@ -5,6 +5,7 @@
 import json
 import os
 import select
+import socket
 import weakref
 
 import pytest
@@ -26,6 +27,8 @@
 from plumpick.admission import SWEEP_MS
 from plumpick.clock import Alarms
 from plumpick.config import config_from, worker_list_from
+from plumpick.gatekeeper import Gatekeeper
+from plumpick.handover import Handover
 from plumpick.workers import MAX_BODY, REST_MS
 
 
@@ -801,6 +804,31 @@
     one_worker(scenario)
 
 
+def test_connections_in_the_accept_queue_are_served_when_the_listener_closes():
+    async def whole():
+        async with FakeWorker() as worker:
+            with socket.create_server((HOST, 0)) as probe:
+                port = probe.getsockname()[1]
+            platform = config_from(config(listen_port=port, known=[entry("w1", worker.port)]), {})
+            keeper = Gatekeeper(platform, asyncio.get_running_loop(), Script())
+            keeper.listed(platform.known)
+            handover = Handover(keeper)
+            await handover.find()
+            with socket.create_connection((HOST, port), 5) as plug:
+                plug.sendall(request())  # nothing has been accepted: no await since
+                await handover.close()
+                keeper.drain()
+                keeper.close_idle()
+                _, writer = await worker.asked()
+                writer.write(answer())
+                assert (await asyncio.to_thread(plug.recv, 99)).startswith(b"HTTP/1.1 200")
+                with pytest.raises(ConnectionRefusedError):
+                    socket.create_connection((HOST, port), 5)
+                while keeper.busy():
+                    await asyncio.sleep(0)
+    run(whole())
+
+
 def test_hundreds_that_connect_at_once_do_not_keep_others_out():
     async def scenario(worker, gate, client):
         admission = gate.keeper.admission
