--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,6 +1,7 @@
 """Seeded random event sequences against the module, with an independent check of the five rules."""
 
 import heapq
+import itertools
 import random
 
 import pytest
@@ -310,3 +311,59 @@
         share = 0.25 + 0.75 * (start + 1500 - 52_000) / 8000
         warm = sum(server != "cold" for server in window) / 5
         assert window.count("cold") <= share * warm * 1.5 + 3
+
+
+def beyond_quotas(gateways, seed, ms=9000, customers=40):
+    """The share of the units sent on that are beyond quotas, on a quiet day: every eighth customer asks for three
+    times its quota, some for nearly all of it and the others for a third. And the share of tries refused of
+    customers who stay inside theirs."""
+    rng, plan, order = random.Random(seed), Plan("rated", 4, 12), itertools.count()
+    look = RequestClass("look", 600, 1500, 2, Repeat.SAFE)
+    config = dict(gateways=gateways, plans=(plan,), classes=(look,))
+    town = {n: Controller(settings(number=n, **config), rng.randrange(1 << 30)) for n in range(gateways)}
+    inbox = {n: [Fleet(tuple(Server(f"s{n}", "z0", 0, State.READY) for n in range(20)))] for n in town}
+    use = [3.0 if n % 8 == 0 else 0.9 if n % 8 == 1 else 0.33 for n in range(customers)]
+    asked, stores, later, serial = {}, {}, [], 0
+    sent = beyond = quiet = refused = 0
+    now, begin = 1000.0, 1000.0
+    while now < begin + ms:
+        now += TICK
+        for number in rng.choices(range(customers), use, k=1) if rng.random() < (
+                sum(use) * plan.rate_per_s * TICK / 1000) else ():
+            serial += 1
+            # The requests of a customer come unevenly over its set, which is half of the fleet.
+            place = int(rng.random() ** 2 * max(2, gateways // 2))
+            asked[serial] = number
+            quiet += use[number] < 1
+            inbox[(number + place) % gateways].append(Arrival(
+                serial, f"{number:016x}", "look", "rated", now + 1500, 1, number % gateways,
+                max(2, gateways // 2)))
+        while later and later[0][0] <= now:
+            _, _, gateway, event = heapq.heappop(later)
+            inbox[gateway].append(event)
+        for n in [n for n, events in inbox.items() if events]:
+            events, inbox[n] = inbox[n], []
+            for action in town[n].handle(now, events):
+                delay, event, receiver = 0.0, None, n
+                if isinstance(action, Send):
+                    delay, event = 60.0, Outcome(action.id, 0, action.server, 60.0, Result.OK, True)
+                    level, at = stores.get(asked[action.id], (plan.burst, begin))
+                    level = min(plan.burst, level + (now - at) / 1000 * plan.rate_per_s)
+                    sent, beyond = sent + 1, beyond + (level < 1)
+                    stores[asked[action.id]] = level - (level >= 1), now
+                elif isinstance(action, Wake):
+                    delay, event = max(action.after_ms, 1e-3), Woken(action.name)
+                elif isinstance(action, Tell) and rng.random() > 0.05:
+                    delay, event, receiver = rng.uniform(1, 39), Heard(n, action.data), action.receiver
+                elif isinstance(action, Refuse):
+                    refused += use[asked[action.id]] < 1
+                if event is not None:
+                    heapq.heappush(later, (now + delay, next(order), receiver, event))
+    return beyond / sent, refused / quiet
+
+
+@pytest.mark.parametrize("gateways", (3, 40, 200))
+def test_quotas_hold_for_the_fleet(gateways):
+    """A policy that sees late lets some units of a hundred through beyond them, and counts as the measure."""
+    beyond, refused = beyond_quotas(gateways, seed=gateways)
+    assert beyond < 0.03 and refused < 0.03
