Let no signal end the process while a planned end closes the loop

Seen with a process that is sent SIGHUP and SIGTERM all the time after a first SIGTERM: in 3 of 3 starts it ended by signal 1 instead of with 0. The loop takes its handlers away when it closes, and until the interpreter has ended each signal acts as the system has it; a gatekeeper that ends on SIGHUP has crashed. At fault: the end of serve in plumpick/__main__.py. Ruled out: SIGHUP at the start, which is ignored from main's first lines on and not sent before readiness.

The three signals are now blocked before the loop closes, once the thread that reads configurations is gone, as that one would take them.

--- a/plumpick/__main__.py
+++ b/plumpick/__main__.py
@@ -26,6 +26,7 @@
 LAST_S, LEAST_S = 1.0, 0.6  # so long before the end no connection is kept any more; but not sooner than this
 TO_FINISH_S = 600.0  # each request has its guard, so none waits longer
 STEP_S = 0.02
+SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 
 log = logging.getLogger("plumpick")
 
@@ -96,6 +97,10 @@
     gatekeeper.peers.close()
     handover.hang_up()
     door.close()
+    # The loop takes its handlers away when it closes, and what then comes would end the process by its
+    # signal. With the thread that reads configurations gone, this mask is the whole process's.
+    await loop.shutdown_default_executor()
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     log.info("gatekeeper %s has finished", config.name)
 
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -1,6 +1,7 @@
 """The program as the deploy file's `run` starts it."""
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -125,6 +126,19 @@
     with_program(tmp_path, scenario)
 
 
+def test_signals_up_to_the_last_moment_change_nothing_of_a_planned_end(tmp_path):
+    """It ended by SIGHUP, which is a crash, where one came while the loop closed."""
+    async def scenario(process, port, worker, _fake, _path):
+        process.send_signal(signal.SIGTERM)
+        while process.returncode is None:
+            for number in (signal.SIGHUP, signal.SIGTERM):
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(process.pid, number)
+            await asyncio.sleep(0.0005)
+        assert process.returncode == 0
+    with_program(tmp_path, scenario)
+
+
 def test_no_thread_of_the_kernel_polls_on_its_account(tmp_path):
     """Seen in /proc: a thread iou-sqp beside the program took nearly all of its CPU share."""
     async def scenario(process, port, worker, _fake, _path):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -314,9 +314,8 @@
 
 
 def beyond_quotas(gateways, seed, ms=9000, customers=40):
-    """The share of the units sent on that are beyond quotas, on a quiet day: every eighth customer asks for three
-    times its quota, some for nearly all of it and the others for a third. And the share of tries refused of
-    customers who stay inside theirs."""
+    """The share of the units sent on that are beyond quotas, and of the tries refused of customers inside
+    theirs. Every eighth customer asks for three times its quota, some for nearly all, others for a third."""
     rng, plan, order = random.Random(seed), Plan("rated", 4, 12), itertools.count()
     look = RequestClass("look", 600, 1500, 2, Repeat.SAFE)
     config = dict(gateways=gateways, plans=(plan,), classes=(look,))
