Notice a client that leaves while its large body is held back

From reading: of a body over 256 KiB nothing more is read while no worker takes it (ClientConnection.hold), and so its client's end went unnoticed: the request stayed open, and its first 256 KiB went to a worker when its turn came, however long ago the client had left. At fault: that a paused transport tells nothing. What is still stuck in the client's own machine behind a full window can't be seen.

The test failed before (nothing in 5 s).

--- a/plumpick/clients.py
+++ b/plumpick/clients.py
@@ -384,6 +384,15 @@
         watched.register(plug.fileno(), select.POLLIN)
         return bool(watched.poll(0))
 
+    def has_left(self) -> bool:
+        """Whether the client has ended its sending while nothing is read here: no event will tell it then."""
+        plug = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if plug is None or not self.held_ms or self.transport.is_closing():  # type: ignore[union-attr]
+            return False
+        watched = select.poll()
+        watched.register(plug.fileno(), select.POLLRDHUP)
+        return bool(watched.poll(0))
+
     def close_if_idle(self) -> None:
         """Between requests a connection may be closed; not while one is open, coming in or here unread: that
         one would be reset, and its client would have to come again."""
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -391,6 +391,9 @@
         now = self.clock.now()
         self.alarms.at(now + SWEEP_MS, self._sweep)
         self.move_idle()
+        for client in [one.client for one in self.open.values() if one.upload is not None]:
+            if client.has_left():
+                client.drop()
         self.admission.sweep(now, self.draining)
 
     def _forget_names(self) -> None:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -5,7 +5,7 @@
 import pytest
 from fakes import HOST, Gate, Script, entry, request, run
 
-from anisefront.interface import Arrival, Outcome, Parted, Refuse, Result, Started, Whole
+from anisefront.interface import Arrival, ClientGone, Outcome, Parted, Refuse, Result, Started, Whole
 from plumpick import bodies, workers
 from plumpick.admission import OWED_MS
 
@@ -212,6 +212,18 @@
     at_gate(scenario)
 
 
+def test_a_client_that_leaves_while_its_body_is_held_back_is_noticed():
+    """Nothing is read from it then, and the end of its connection lies behind what it has sent."""
+    async def scenario(worker, gate, client):
+        client.send(upload(LARGE) + bytes(bodies.HELD))
+        came = await gate.script.event(Arrival)
+        await until(lambda: gate.keeper.open[came.id].client.held_ms)
+        client.close()
+        async with asyncio.timeout(5):
+            assert (await gate.script.event(ClientGone)).id == came.id
+    at_gate(scenario, Script(worker=None))
+
+
 def test_a_body_broken_off_by_its_worker_has_never_run():
     async def scenario(worker, gate, client):
         client.send(upload(LARGE) + bytes(bodies.HELD))
