Take back no word of a drain for an older list at a new address

From reading: after SIGHUP the new address is asked for its whole list, and whatever it answers was taken, also a version before the one that is known. A worker that has been told to drain was ready again by it until the next change came, and got new work beyond the grace. At fault: Discovery._take. Refusing such a list was not taken: a service that counts anew would then tell nothing for ever, and the existing tests have such lists accepted.

What was told of a worker's present process now goes before an older whole list for 120 s; all else that list says holds, and changes and newer lists are taken as they come.

--- a/plumpick/discovery.py
+++ b/plumpick/discovery.py
@@ -11,9 +11,11 @@
 import math
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 import httptools
 
+from anisefront.interface import State
 from anisefront.settings import SettingsError
 from plumpick.config import Address, WorkerList, worker_list_from
 
@@ -28,6 +30,7 @@
 # whose list may be old, at first within less.
 CALM_EACH_S, HURRY_EACH_S = 0.8, 0.25
 LEAST_GAP_S = 0.05  # between answers that bring nothing, should they come at once
+OLD_S = 120.0  # so long the word of a drain is kept against an older list
 MAX_ANSWER = 8 * 1024 * 1024
 
 log = logging.getLogger(__name__)
@@ -109,6 +112,9 @@
         self._writer: asyncio.StreamWriter | None = None
         self._quiet = False  # a failure has been logged, and no success since
         self._skipped = False  # an entry that cannot be read has been logged
+        self._newest = 0 if known is None else known  # version of what has been told, at any address
+        self._ready: dict[str, float] = {}  # workers by that, with their starts
+        self._left: dict[str, tuple[float, float]] = {}  # and those that want nothing new, with when it was told
         self._moved = asyncio.Event()
         self.listed = asyncio.Event()  # the first answer has come
 
@@ -174,10 +180,37 @@
 
     def _take(self, news: WorkerList) -> None:
         if news.entries or news.complete:
-            self._told(news)
+            self._told(self._as_told_before(news))
         self.listed.set()
         self._quiet = False
 
+    def _as_told_before(self, news: WorkerList) -> WorkerList:
+        """A whole list that is older than what has been told, as another address may have it, says nothing of
+        what has come since: a worker that wanted nothing new by then is not ready again by it."""
+        now = asyncio.get_running_loop().time()
+        if news.complete and news.index < self._newest:
+            news = replace(news, entries=tuple(
+                replace(entry, server=replace(entry.server, state=State.DRAINING))
+                if entry.server.state is State.READY and entry.server.id in self._left
+                and self._left[entry.server.id][0] == entry.server.started_ms else entry
+                for entry in news.entries))
+        elif news.complete:
+            self._newest = news.index
+            for name in self._ready.keys() - {entry.server.id for entry in news.entries}:
+                self._left[name] = self._ready.pop(name), now
+        else:
+            self._newest = max(self._newest, news.index)
+        for server in [entry.server for entry in news.entries]:
+            if server.state is State.READY:
+                self._ready[server.id] = server.started_ms
+                self._left.pop(server.id, None)
+            else:
+                self._ready.pop(server.id, None)
+                self._left[server.id] = server.started_ms, now
+        self._left = {name: (started_ms, at_s) for name, (started_ms, at_s) in self._left.items()
+                      if now - at_s < OLD_S}
+        return news
+
     def _skip(self, problem: SettingsError) -> None:
         """One entry that cannot be read is no reason to do without the others."""
         if not self._skipped:
