--- a/plumpick/discovery.py
+++ b/plumpick/discovery.py
@@ -114,7 +114,7 @@
         self._skipped = False  # an entry that cannot be read has been logged
         self._newest = 0 if known is None else known  # version of what has been told, at any address
         self._ready: dict[str, float] = {}  # workers by that, with their starts
-        self._left: dict[str, tuple[float, float]] = {}  # and those that want nothing new, with when it was told
+        self._left: dict[str, tuple[float, float]] = {}  # those that want nothing new, and when it was told
         self._moved = asyncio.Event()
         self.listed = asyncio.Event()  # the first answer has come
 
