--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -114,9 +114,9 @@
 class Town:
     """A few gateways, servers that act at random, and a network that loses, delays and repeats."""
 
-    def __init__(self, seed, gateways=3, kill=0.0005, loss=0.3, rate=120):
-        self.rng = random.Random(seed)
-        self.config = settings(gateways=gateways)
+    def __init__(self, seed, gateways=3, kill=0.0005, loss=0.3, rate=120, **more):
+        self.rng, self.more = random.Random(seed), more
+        self.config = settings(gateways=gateways, **more)
         self.checker = Checker(self.config)
         self.loss, self.kill, self.rate = loss, kill, rate
         self.now, self.serial, self.queue, self.log = 1000.0, 0, [], []
@@ -131,7 +131,7 @@
 
     def start(self, n):
         self.life[n] += 1
-        config = settings(number=n, gateways=len(self.life))
+        config = settings(number=n, gateways=len(self.life), **self.more)
         self.gateways[n] = Controller(config, self.rng.randrange(1 << 30))
         self.inbox[n] = [Fleet(tuple(self.fleet))]
         self.learned[n] = {s.id: self.now for s in self.fleet if s.state is not State.READY}
@@ -244,6 +244,7 @@
                 events, self.inbox[n] = self.inbox[n], []
                 if events:
                     actions = controller.handle(self.now, events)
+                    assert not controller.faults, controller.faults
                     self.log.append((n, self.now, actions))
                     for action in actions:
                         self.act(n, action)
@@ -266,6 +267,23 @@
     assert sum(len(sent) > 1 for sent in town.checker.sent.values()) > 20
 
 
+OTHERS = (
+    dict(plans=(Plan("both", 6, 12, 2, 1.4, 0.8, 0.2), Plan("open", max_out=3, over_worth=0.5)),
+         inbox_per_s=3, max_attempts=2, second_copies=False, max_retry_after_ms=0.0),
+    dict(plans=(Plan("free"), Plan("capped", 3, 9, 0, 1.0, 0.2, 1.0, 6, 18, 4)),
+         may_cancel=False, max_attempts=1, settles=False),
+    dict(plans=(Plan("rated", 2, 8, over_worth=0.9),), may_tell=False, warm_up_ms=0.0, report_fields=()),
+)
+
+
+@pytest.mark.parametrize("more", OTHERS)
+def test_rules_hold_with_the_settings_of_others(more):
+    """Without faults of the module, too: each of these is a turn whose request waits for its guard."""
+    town = Town(5, rate=400, **more)
+    town.run(8000)
+    assert len(town.checker.done) > 2000
+
+
 def test_rules_hold_when_gateways_die_all_the_time():
     town = Town(99, kill=0.01, rate=300)
     town.run(15_000)
