--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,6 +10,7 @@
 from anisefront.interface import (
     Arrival,
     Cancel,
+    ClientGone,
     Fail,
     Fleet,
     Heard,
@@ -114,11 +115,11 @@
 class Town:
     """A few gateways, servers that act at random, and a network that loses, delays and repeats."""
 
-    def __init__(self, seed, gateways=3, kill=0.0005, loss=0.3, rate=120, **more):
-        self.rng, self.more = random.Random(seed), more
+    def __init__(self, seed, gateways=3, kill=0.0005, loss=0.3, rate=120, leave=0.0, **more):
+        self.rng, self.leave, self.more = random.Random(seed), leave, more
         self.config = settings(gateways=gateways, **more)
         self.checker = Checker(self.config)
-        self.loss, self.kill, self.rate = loss, kill, rate
+        self.loss, self.kill, self.rate, self.left_waiting = loss, kill, rate, 0
         self.now, self.serial, self.queue, self.log = 1000.0, 0, [], []
         self.inbox = {n: [] for n in range(gateways)}
         self.fleet = [Server(f"s{n}", f"z{n % 2}", n % 4, State.READY) for n in range(8)]
@@ -236,6 +237,8 @@
                     self.change_fleet()
                 if self.rng.random() < self.kill:
                     self.killed(self.rng.randrange(len(self.gateways)))
+            if self.leave and self.checker.open and self.rng.random() < self.leave:
+                self.client_leaves()
             while self.queue and self.queue[0][0] <= self.now:
                 _, _, gateway, life, event = heapq.heappop(self.queue)
                 if isinstance(event, Heard) or life == self.life[gateway]:
@@ -253,6 +256,14 @@
             assert not overdue, f"rule 1: no answer for {overdue[:3]}"
             assert self.now < end + 60_000
 
+    def client_leaves(self):
+        number = self.rng.choice(list(self.checker.open))
+        gateway, _ = self.checker.open.pop(number)
+        self.checker.done.add(number)
+        self.streams.discard(number)
+        self.inbox[gateway].append(ClientGone(number))
+        self.left_waiting += not self.checker.sent[number]
+
     def killed(self, n):
         self.checker.killed(n)
         self.tries = {key: entry for key, entry in self.tries.items() if entry[0] != n}
@@ -267,6 +278,15 @@
     assert sum(len(sent) > 1 for sent in town.checker.sent.values()) > 20
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_nothing_is_sent_on_for_a_client_that_has_left(seed):
+    """The checker raises where a request goes out after its end: held, asked for at a home, or to be tried
+    again."""
+    town = Town(seed, rate=400, leave=0.5)
+    town.run(10_000)
+    assert town.left_waiting > 100
+
+
 OTHERS = (
     dict(plans=(Plan("both", 6, 12, 2, 1.4, 0.8, 0.2), Plan("open", max_out=3, over_worth=0.5)),
          inbox_per_s=3, max_attempts=2, second_copies=False, max_retry_after_ms=0.0),
