Test signals that come during the start

SIGTERM, and SIGHUP with SIGTERM, while discovery is silent and the gatekeeper is not ready: it comes up, ends as planned and exits with 0. No fault was found, the test passed at once.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -139,6 +139,27 @@
     with_program(tmp_path, scenario)
 
 
+@pytest.mark.parametrize("signals", ((signal.SIGTERM,), (signal.SIGHUP, signal.SIGTERM)))
+def test_signals_during_the_start_are_taken_up_once_it_is_up(tmp_path, signals):
+    """Discovery has been called and says nothing, so it is not ready when they come."""
+    async def whole():
+        async with FakeDiscovery() as fake, FakeWorker() as worker:
+            port, path = free_port(), tmp_path / "config.json"
+            path.write_text(json.dumps(config(fake.port, port, known=[entry("w1", worker.port)])))
+            process = await start(path)
+            try:
+                await fake.called()
+                for number in signals:
+                    process.send_signal(number)
+                _, said = await process.communicate()
+                assert process.returncode == 0 and b"has finished" in said and b"Traceback" not in said
+            finally:
+                if process.returncode is None:
+                    process.kill()
+                    await process.wait()
+    run(whole())
+
+
 def test_no_thread_of_the_kernel_polls_on_its_account(tmp_path):
     """Seen in /proc: a thread iou-sqp beside the program took nearly all of its CPU share."""
     async def scenario(process, port, worker, _fake, _path):
