Write a keyed repeat within its window, or never

At fault: `Controller.allowed` looks at the window when the send is decided; `Workers._dialled` and the transport write it whenever the connection comes up or takes more. `Send` now carries the time by which the last byte has to be out, and the network code keeps it: while the attempt waits for its connection, when the connection is up, when a slow turn carries it out, and while a large request is blocked. What has not gone whole by then is broken off as moot: it never ran, and the server is not blamed.

--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -354,7 +354,8 @@
             self.waits[request.kind.name].append(self.now - request.came_ms)
             self.budget = min(RETRY_MOST, self.budget + RETRY_PART)
             request.held, request.toss_ms = False, 0.0
-        self.actions.append(Send(number, backend.entry.id, max(1.0, request.arrival.due_ms - self.now)))
+        allow_ms = max(1.0, request.arrival.due_ms - self.now)
+        self.actions.append(Send(number, backend.entry.id, allow_ms, self.repeat_until(request)))
         self.attempts[number, request.attempts] = (backend, request.kind.name)
         request.out[request.attempts] = backend
         request.tried.append(backend)
@@ -367,15 +368,23 @@
         self.plan_hedge(request)
         return True
 
+    def repeat_until(self, request: Request) -> float:
+        """The time by which one more attempt has to be out whole. A connection may come up late, and after
+        the window, which runs from the first attempt's send, the servers no longer drop a repeat."""
+        if not request.uncertain or request.kind.repeat is Repeat.SAFE:
+            return math.inf
+        if request.kind.repeat is Repeat.UNSAFE:
+            return -math.inf
+        return request.anchor_ms + request.kind.window_ms - self.settings.tick_ms
+
     def allowed(self, request: Request) -> list[Backend] | None:
         """The only servers that rule 2 (its group and window) leaves to this request now; None for all."""
-        kind, anchor = request.kind, request.anchor
-        if anchor is None or not request.uncertain or kind.repeat is Repeat.SAFE:
+        anchor, until_ms = request.anchor, self.repeat_until(request)
+        if anchor is None or until_ms == math.inf:
             return None
-        left = request.anchor_ms + kind.window_ms - self.settings.tick_ms - self.now
-        if kind.repeat is Repeat.UNSAFE or left <= 0:
+        if until_ms <= self.now:
             return []
-        same, group = anchor.entry, kind.scope
+        same, group = anchor.entry, request.kind.scope
         return None if group is Scope.ALL else [
             backend for backend in self.servers.warm + self.servers.cold if backend.entry.zone == same.zone
             and (group is Scope.ZONE or backend.entry.cell == same.cell)]
--- a/anisefront/interface.py
+++ b/anisefront/interface.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -272,11 +273,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start an attempt; attempts of a request are numbered from 0 in the order of their sends."""
+    """Start an attempt; attempts of a request are numbered from 0 in the order of their sends.
+
+    Its last byte goes out by the time `until_ms` of the clock, or never."""
 
     id: int
     server: str
     allow_ms: float
+    until_ms: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -269,7 +269,8 @@
         upload = request.upload
         allow_ms = action.allow_ms if upload is None or upload.whole else request.wait_ms
         message = b"%s%d\r\n\r\n%s" % (request.message, max(1, int(allow_ms)), request.body)
-        attempt = Attempt(request.id, number, action.server, message, upload, self._ended, self._begun)
+        attempt = Attempt(request.id, number, action.server, message, upload, self._ended, self._begun,
+                          action.until_ms)
         self.attempts[request.id, number] = attempt
         self.workers.start(attempt, action.allow_ms)
 
--- a/plumpick/workers.py
+++ b/plumpick/workers.py
@@ -49,26 +49,32 @@
     An answer too large to be held goes to the client that `begin` names, as it comes."""
 
     __slots__ = ("request_id", "number", "worker", "message", "upload", "started_ms", "answered_ms", "done",
-                 "begin", "connection", "dial", "alarm", "dial_alarm")
+                 "begin", "until_ms", "connection", "dial", "alarm", "dial_alarm", "until_alarm")
 
     def __init__(self, request_id: int, number: int, worker: str, message: bytes, upload: Upload | None,
-                 done: Done, begin: Begin) -> None:
+                 done: Done, begin: Begin, until_ms: float = math.inf) -> None:
         self.request_id, self.number, self.worker, self.message = request_id, number, worker, message
         self.upload = upload  # what of the request is still to come
         self.done: Done | None = done
-        self.begin = begin
+        self.begin, self.until_ms = begin, until_ms
         self.started_ms = self.answered_ms = 0.0  # when sent, and when an answer began to be passed on
         self.connection: WorkerConnection | None = None
         self.dial: asyncio.Task[Any] | None = None
         self.alarm: Alarm | None = None
         self.dial_alarm: Alarm | None = None
+        self.until_alarm: Alarm | None = None
+
+    def lapse(self) -> None:
+        """The time by which its last byte had to be out has come: what has not gone whole must not go."""
+        if self.connection is None or self.connection.unsent:
+            self.end(Result.MOOT)
 
     def end(self, result: Result, body: bytes = b"", kind: bytes = b"", load: tuple[float, ...] = ()) -> None:
         """Tell the outcome, once, and give up what the attempt still holds."""
         done, self.done = self.done, None
         if done is None:
             return
-        for alarm in (self.alarm, self.dial_alarm):
+        for alarm in (self.alarm, self.dial_alarm, self.until_alarm):
             if alarm is not None:
                 alarm.cancel()
         if self.dial is not None:
@@ -417,9 +423,14 @@
         attempt.started_ms = now
         if attempt.upload is None or attempt.upload.whole:  # else its time begins with its last byte
             self.allow(attempt, allow_ms)
+        if attempt.until_ms < math.inf:
+            attempt.until_alarm = self._alarms.at(attempt.until_ms, attempt.lapse)
         worker = self._known.get(attempt.worker)
-        kept = self._kept(worker, now) if worker is not None else None
-        if kept is not None:
+        in_time = now < attempt.until_ms  # the loop may have been slow since this was decided
+        kept = self._kept(worker, now) if worker is not None and in_time else None
+        if not in_time:
+            self._loop.call_soon(attempt.end, Result.MOOT)
+        elif kept is not None:
             kept.carry(attempt)
         elif worker is None or worker.connections >= MAX_PER_WORKER or self._connections >= self._max:
             self._loop.call_soon(attempt.end, Result.CONNECT_FAILED)
@@ -459,6 +470,8 @@
         if attempt.dial_alarm is not None:
             attempt.dial_alarm.cancel()
         usable = not dial.cancelled() and problem is None and not connection.closed
+        if attempt.until_ms <= self.clock.now():  # its alarm is due too, but may come after this
+            attempt.lapse()
         if usable and attempt.done is not None and self.serves(worker):
             connection.carry(attempt)
         else:  # also when word of a drain came meanwhile: nothing may be written to it any more
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import math
 
 import httptools
 import uvloop
@@ -59,7 +60,7 @@
     """In the module's place: sends each request to one worker, fails it after a bad outcome, keeps events."""
 
     def __init__(self, worker="w1", allow_ms=20_000.0):
-        self.worker, self.allow_ms = worker, allow_ms
+        self.worker, self.allow_ms, self.until_ms = worker, allow_ms, math.inf
         self.events, self.to_do, self.faults = [], [], []
         self.came = asyncio.Event()
 
@@ -69,7 +70,7 @@
         actions, self.to_do = self.to_do, []
         for event in events:
             if isinstance(event, Arrival) and self.worker:
-                actions.append(Send(event.id, self.worker, self.allow_ms))
+                actions.append(Send(event.id, self.worker, self.allow_ms, self.until_ms))
             if isinstance(event, Outcome) and not event.final:
                 actions.append(Fail(event.id))
         return actions
--- a/tests/test_gatekeeper.py
+++ b/tests/test_gatekeeper.py
@@ -510,6 +510,62 @@
     one_worker(scenario)
 
 
+def limit(gate, in_ms):
+    """The script sends so that the last byte must be out in so many ms; the answer is that time."""
+    gate.script.until_ms = gate.keeper.clock.now() + in_ms
+    return gate.script.until_ms
+
+
+@pytest.mark.parametrize("comes_up", (True, False))
+def test_an_attempt_whose_time_to_be_out_passes_while_it_waits_for_a_connection_is_not_written(comes_up):
+    """Seen on zone+brink+mass, seed 53: a keyed request was sent again 47 ms before the end of its window,
+    its connection came up 188 ms later, and it was written all the same."""
+    async def scenario(worker, gate, client):
+        opened, go = hold_dials(gate)
+        until_ms = limit(gate, 5_000 if comes_up else 20)
+        client.send(request())
+        await opened.wait()
+        if comes_up:
+            gate.keeper.workers.clock = type("Late", (), {"now": staticmethod(lambda: until_ms + 0.01)})
+            go.set()
+        assert (await client.answer())[0] == 502
+        assert (await gate.script.event(Outcome)).result is Result.MOOT
+        assert gate.keeper.workers._connections == 0
+        if comes_up:
+            assert (await worker.asked())[0] is None  # the connection ended, and nothing came on it
+    one_worker(scenario)
+
+
+def test_an_attempt_that_a_slow_turn_carries_out_after_its_time_is_not_written():
+    async def scenario(worker, gate, client):
+        await exchange(worker, client)
+        limit(gate, -0.01)
+        client.send(request())
+        assert (await client.answer())[0] == 502
+        await gate.script.event(Outcome)
+        assert (await gate.script.event(Outcome)).result is Result.MOOT
+        assert worker.requests.empty() and worker.connections == 1
+    one_worker(scenario)
+
+
+@pytest.mark.parametrize("blocked, result", ((True, Result.MOOT), (False, Result.OK)))
+def test_a_request_is_broken_off_when_its_time_to_be_out_passes_before_its_last_byte(blocked, result):
+    async def scenario(worker, gate, client):
+        limit(gate, 200)
+        client.send(request(path="/debit", body=bytes(60_000)))
+        _, writer = await worker.asked()
+        attempt, = gate.keeper.attempts.values()
+        if blocked:
+            attempt.connection.pause_writing()  # as the transport tells it while bytes are left
+            assert (await worker.asked())[0] is None  # the end of the connection
+        else:
+            attempt.lapse()
+            writer.write(answer())
+            assert (await client.answer())[0] == 200
+        assert (await gate.script.event(Outcome)).result is result
+    one_worker(scenario)
+
+
 def test_the_connections_to_one_worker_are_capped(monkeypatch):
     monkeypatch.setattr("plumpick.workers.MAX_PER_WORKER", 1)
 
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -1,5 +1,6 @@
 """The module alone: odd but legal rounds, settings that cannot be right, and one test a failure found."""
 
+import math
 import random
 
 import pytest
@@ -76,6 +77,16 @@
     assert of(Fail, actions) == [Fail(2)]
 
 
+def test_a_repeat_is_sent_with_the_time_by_which_it_must_be_out():
+    """From the first attempt's send; where that never ran, the next one is the first."""
+    c = gateway()
+    first, = of(Send, c.handle(1000, [FLEET, ask(1, "hold")]))
+    second, = of(Send, c.handle(1050, [outcome(first, Result.CONNECT_FAILED)]))
+    third, = of(Send, c.handle(1100, [outcome(second, Result.RESET, attempt=1)]))
+    assert (first.until_ms, second.until_ms) == (math.inf, math.inf)
+    assert third.until_ms == 1050 + c.classes["hold"].window_ms - c.settings.tick_ms
+
+
 def test_unsafe_is_tried_again_when_it_never_ran():
     c = gateway()
     send, = of(Send, c.handle(1000, [FLEET, ask(1, "debit")]))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -80,7 +80,7 @@
     def unproved(self, number):
         return [entry for n, entry in enumerate(self.sent[number]) if n not in self.proved[number]]
 
-    def send(self, now, number, server, drained_ms):
+    def send(self, now, number, server, drained_ms, until_ms):
         assert number in self.open, f"rule 1: {number} sent after its end"
         _, arrival = self.open[number]
         kind, plan = self.kinds[arrival.class_name], self.plans[arrival.plan_name]
@@ -90,7 +90,7 @@
             assert not loose, "rule 2: an unsafe request went out twice"
         if kind.repeat is Repeat.KEYED and loose:
             first_ms, first = loose[0]
-            assert now - first_ms <= kind.window_ms, "rule 2: past the window"
+            assert now < until_ms <= first_ms + kind.window_ms, "rule 2: past the window"
             if kind.scope is Scope.CELL:
                 assert first.cell == server.cell, "rule 2: another cell"
             if kind.scope is Scope.ZONE:
@@ -173,7 +173,7 @@
     def act(self, n, action):
         if isinstance(action, Send):
             server = next(s for s in self.fleet if s.id == action.server)
-            self.checker.send(self.now, action.id, server, self.learned[n].get(server.id))
+            self.checker.send(self.now, action.id, server, self.learned[n].get(server.id), action.until_ms)
             attempt = len(self.checker.sent[action.id]) - 1
             result = self.rng.choices(
                 [Result.OK, Result.ERROR, Result.FULL, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET],
