Give a large body to one worker alone, also when it was whole before

By reading, while looking for work that is sent again: `Upload.attach` drops what it hands to the worker, but said so (`Parted`) only where more of the body was still to come. A body that was whole while its connection came up could then be sent again after a 503 with X-Not-Run, or by a second copy, with its head and nothing of its body: the worker would wait for it, or with chunks take an empty body for the client's.

The body now says that it is gone whenever it is, and an attempt asks it before its first byte whether it may go. That also asks the socket of a client of whom nothing is read while its body is held back: `_sweep` does so only every 100 ms, and a connection that came up in between was written for nobody.

--- a/plumpick/bodies.py
+++ b/plumpick/bodies.py
@@ -17,10 +17,15 @@
     def __init__(self, client: ClientConnection, length: int | None, first: bytes) -> None:
         self._client, self._chunked = client, length is None
         self._parts, self._size = [first] if first else [], len(first)
-        self._sink: WorkerConnection | None = None
+        self._sink: WorkerConnection | None = None  # the one that has had the first byte
         self.whole = False  # its last byte has come
         self.framing = b"Transfer-Encoding: chunked" if length is None else b"Content-Length: %d" % length
 
+    def may_go(self) -> bool:
+        """Whether a worker may still have it from its first byte: it goes to one alone, as nothing is kept,
+        and to none when its client has left. Of one held back nothing is read, so the socket is asked."""
+        return self._sink is None and not self._client.has_left()
+
     def _framed(self, part: bytes) -> bytes:
         return b"%x\r\n%s\r\n" % (len(part), part) if self._chunked else part
 
@@ -45,11 +50,11 @@
         text = head + b"".join(map(self._framed, self._parts))
         self._parts.clear()
         self._sink = sink
+        self._client.parted()
         if self.whole:
             sink.write_last(text + (b"0\r\n\r\n" if self._chunked else b""))
         else:
             sink.write_on(text)
-            self._client.parted()
             self._client.hold(sink.blocked)
 
     def flow(self, stopped: bool) -> None:
--- a/plumpick/workers.py
+++ b/plumpick/workers.py
@@ -64,8 +64,12 @@
         self.dial_alarm: Alarm | None = None
         self.until_alarm: Alarm | None = None
 
+    def may_go(self, now: float) -> bool:
+        """Whether its first byte may go out now."""
+        return now < self.until_ms and (self.upload is None or self.upload.may_go())
+
     def lapse(self) -> None:
-        """The time by which its last byte had to be out has come: what has not gone whole must not go."""
+        """Its last byte may no longer go out. Where it has not, the request never runs by this attempt."""
         if self.connection is None or self.connection.unsent:
             self.end(Result.MOOT)
 
@@ -426,9 +430,9 @@
         if attempt.until_ms < math.inf:
             attempt.until_alarm = self._alarms.at(attempt.until_ms, attempt.lapse)
         worker = self._known.get(attempt.worker)
-        in_time = now < attempt.until_ms  # the loop may have been slow since this was decided
-        kept = self._kept(worker, now) if worker is not None and in_time else None
-        if not in_time:
+        may_go = attempt.may_go(now)  # the loop may have been slow since this was decided
+        kept = self._kept(worker, now) if worker is not None and may_go else None
+        if not may_go:
             self._loop.call_soon(attempt.end, Result.MOOT)
         elif kept is not None:
             kept.carry(attempt)
@@ -470,8 +474,8 @@
         if attempt.dial_alarm is not None:
             attempt.dial_alarm.cancel()
         usable = not dial.cancelled() and problem is None and not connection.closed
-        if attempt.until_ms <= self.clock.now():  # its alarm is due too, but may come after this
-            attempt.lapse()
+        if not attempt.may_go(self.clock.now()):  # its alarm may be due too, and come after this
+            attempt.end(Result.MOOT)
         if usable and attempt.done is not None and self.serves(worker):
             connection.carry(attempt)
         else:  # also when word of a drain came meanwhile: nothing may be written to it any more
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -5,7 +5,18 @@
 import pytest
 from fakes import HOST, Gate, Script, entry, request, run
 
-from anisefront.interface import Arrival, ClientGone, Outcome, Parted, Refuse, Result, Started, Whole
+from anisefront.interface import (
+    Arrival,
+    ClientGone,
+    Outcome,
+    Parted,
+    Refuse,
+    Result,
+    Send,
+    Started,
+    Whole,
+    Woken,
+)
 from plumpick import bodies, workers
 from plumpick.admission import OWED_MS
 
@@ -224,6 +235,54 @@
     at_gate(scenario, Script(worker=None))
 
 
+class Ends:
+    """A client and a worker's connection, as an upload sees them."""
+
+    def __init__(self):
+        self.is_parted, self.gone, self.blocked, self.text = False, False, False, b""
+
+    def parted(self):
+        self.is_parted = True
+
+    def has_left(self):
+        return self.gone
+
+    def write_last(self, data):
+        self.text += data
+
+
+@pytest.mark.parametrize("length, text", [
+    (4, b"head\r\n\r\nbody"), (None, b"head\r\n\r\n4\r\nbody\r\n0\r\n\r\n")])
+def test_a_body_that_was_whole_before_its_worker_goes_to_one_worker_alone(length, text):
+    """It was not said to be gone: a further attempt went out with its head and nothing of its body."""
+    client, sink = Ends(), Ends()
+    body = bodies.Upload(client, length, b"")
+    body.feed(b"body")
+    body.end()
+    assert body.may_go()
+    body.attach(sink, b"head\r\n\r\n")
+    assert sink.text == text and client.is_parted and not body.may_go()
+
+
+def test_a_body_whose_client_has_left_unread_goes_to_no_worker():
+    client = Ends()
+    client.gone = True
+    assert not bodies.Upload(client, 4, b"body").may_go()
+
+
+def test_of_two_attempts_that_wait_with_one_body_the_second_is_not_written():
+    async def scenario(worker, gate, client):
+        client.send(upload(LARGE) + bytes(bodies.HELD))
+        came = await gate.script.event(Arrival)
+        await gate.script.event(Parted)
+        await worker.asked()
+        gate.script.to_do = [Send(came.id, "w1", 9000.0)]
+        gate.keeper.notice(Woken("hedge"))
+        done = await gate.script.event(Outcome)
+        assert (done.attempt, done.result) == (1, Result.MOOT) and worker.calls.empty()
+    at_gate(scenario)
+
+
 def test_a_body_broken_off_by_its_worker_has_never_run():
     async def scenario(worker, gate, client):
         client.send(upload(LARGE) + bytes(bodies.HELD))
