Begin nothing for a client that has left, however it left

Four ways by which an attempt could begin more than 0.1 s after its client had gone, found by reading, each forced in a test that fails without the mend: - The end of a client's sending closes the connection once all is written. With an earlier answer unread that is never, so the module was not told, and the connection kept its descriptor. It is told at the end itself now, and the connection leaves like every other. - A client whose end has come, but has not been read yet, got its attempt written on a kept connection. Its socket is asked before the send. - A large request that waited for its worker to take more was written on, and begun, for nobody. With its request every attempt ends whose last byte is not out. The worker was blamed for that, too (`CONNECT_FAILED`): what ends with its client is moot.

--- a/plumpick/clients.py
+++ b/plumpick/clients.py
@@ -100,7 +100,13 @@
             self.break_off(413)
 
     def eof_received(self) -> None:
-        """A client that ends its sending has gone away: the connection closes."""
+        """A client that ends its sending has gone away: the connection closes. What it has not read of an
+        earlier answer may hold up the end, but not the word of it."""
+        request, self.request = self.request, None
+        if request is not None:
+            self.gatekeeper.client_gone(request)
+        if not self.ending:
+            self._leave()
 
     def connection_lost(self, _problem: Exception | None) -> None:
         self.ending = True
@@ -385,9 +391,10 @@
         return bool(watched.poll(0))
 
     def has_left(self) -> bool:
-        """Whether the client has ended its sending while nothing is read here: no event will tell it then."""
+        """Whether the client has ended its sending, be it read here or not: while nothing is read, no event
+        will tell it."""
         plug = self.transport.get_extra_info("socket") if self.transport is not None else None
-        if plug is None or not self.held_ms or self.transport.is_closing():  # type: ignore[union-attr]
+        if plug is None or self.transport.is_closing():  # type: ignore[union-attr]
             return False
         watched = select.poll()
         watched.register(plug.fileno(), select.POLLRDHUP)
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -169,9 +169,7 @@
             return
         self.notice(ClientGone(request.id))
         for attempt in self._out(request):
-            if attempt.upload is not None and not attempt.upload.whole:
-                attempt.end(Result.CONNECT_FAILED)
-            elif attempt.number == request.passing:
+            if attempt.number == request.passing:
                 attempt.end(Result.CANCELLED)
 
     def _out(self, request: Request) -> list[Attempt]:
@@ -231,8 +229,8 @@
     def _close(self, request: Request) -> bool:
         """Take a request off the table; False if it has had its final answer before.
 
-        What was sent of it runs on, until it is called off or answered. An attempt whose connection is not up
-        yet ends here: there is nobody any more whom it could serve."""
+        What was sent of it runs on, until it is called off or answered. An attempt that is not whole at its
+        worker ends here: it would begin for nobody."""
         if self.open.pop(request.id, None) is None:
             return False
         self._names.discard(request.name)
@@ -240,8 +238,8 @@
         if request.guard is not None:
             request.guard.cancel()
         for attempt in self._out(request):
-            if attempt.dial is not None:
-                attempt.end(Result.MOOT)
+            if attempt.number != request.passing:
+                attempt.lapse()
         return True
 
     def _finish(self, request: Request, how: str, status: int, body: bytes = b"", kind: bytes = b"",
@@ -262,10 +260,15 @@
 
     def _send(self, action: Send) -> None:
         request = self.open.get(action.id)
+        number = 0 if request is None else request.sends
+        if request is not None and request.client.has_left():  # its end is here, and not read yet
+            self.client_gone(request)
+            request.client.drop()
+            request = None
         if request is None:  # the module can't know it: it ended in between
-            self.notice(Outcome(action.id, 0, action.server, 0.0, Result.MOOT, True))
+            self.notice(Outcome(action.id, number, action.server, 0.0, Result.MOOT, True))
             return
-        number, request.sends = request.sends, request.sends + 1
+        request.sends = number + 1
         upload = request.upload
         allow_ms = action.allow_ms if upload is None or upload.whole else request.wait_ms
         message = b"%s%d\r\n\r\n%s" % (request.message, max(1, int(allow_ms)), request.body)
--- a/tests/test_gatekeeper.py
+++ b/tests/test_gatekeeper.py
@@ -252,6 +252,56 @@
     one_worker(scenario, worker=None)
 
 
+def test_a_client_that_leaves_with_an_earlier_answer_unread_is_told_to_the_module():
+    """The connection's end was told once all was written, which may be never, and the request went out."""
+    async def scenario(worker, gate, client):
+        client.send(request())
+        came = await gate.script.event(Arrival)
+        connection, = gate.keeper.admission.all
+        client.reader._transport.pause_reading()
+        connection.transport.write(bytes(16 << 20))
+        client.writer.write_eof()
+        async with asyncio.timeout(5):
+            assert (await gate.script.event(ClientGone)).id == came.id
+            while gate.keeper.admission.all:  # and its descriptor is free after a while
+                await asyncio.sleep(0.01)
+    one_worker(scenario, worker=None)
+
+
+def test_nothing_is_sent_on_for_a_client_whose_end_is_here_unread(monkeypatch):
+    monkeypatch.setattr("plumpick.workers.REST_MS", 0.0)
+
+    async def scenario(worker, gate, client):
+        await exchange(worker, client)  # leaves a connection on which a request goes out at once
+        await gate.script.event(Arrival)
+        await gate.script.event(Outcome)
+        gate.script.worker = None
+        with socket.socket() as plug:
+            plug.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(plug, (HOST, gate.port))
+            plug.send(request())
+            came = await gate.script.event(Arrival)
+        gate.keeper._send(Send(came.id, "w1", 9000.0))  # before the loop can read it
+        done = await gate.script.event(Outcome)
+        assert (done.id, done.result, done.final) == (came.id, Result.MOOT, True)
+        assert (await gate.script.event(ClientGone)).id == came.id
+        assert worker.requests.empty() and not gate.keeper.attempts
+    one_worker(scenario)
+
+
+def test_a_large_request_that_is_not_whole_at_the_worker_ends_with_its_client():
+    async def scenario(worker, gate, client):
+        client.send(request(path="/debit", body=bytes(60_000)))
+        await worker.asked()
+        attempt, = gate.keeper.attempts.values()
+        attempt.connection.pause_writing()  # as the transport tells it while bytes are left
+        client.close()
+        done = await gate.script.event(Outcome)
+        assert (done.result, done.final) == (Result.MOOT, True)
+        assert (await worker.asked())[0] is None
+    one_worker(scenario)
+
+
 def test_the_last_guard_answers_before_the_deadline():
     async def scenario(worker, gate, client):
         status, _, _ = await client.send(request(deadline=60)).answer()
