Bound what all send to a cold server by the settings, also where all is cold

A test adds up what 1, 3, 30 and 230 controllers send to each of 20 servers in full use within any window of the settings, with one attempt of six failing and one of ten slow enough for a second copy; all learn of the starts at once. Where all servers were cold and the gateways had just started it was passed: by 20 to 30 calls for one gateway, by up to 6 for 230.

At fault: the toss for a cold server is against the fleet of late, of which a gateway that has just started knows nothing (`Servers.sort`, `reference`); and each held request tosses anew every second (`TOSS_MS`), each copy once more, as if they were traffic of their own. The reference is now at least what keeps a cold server's part at half of what `fallMultiple` allows it, and the chance is of requests, not of tosses.

--- a/anisefront/servers.py
+++ b/anisefront/servers.py
@@ -22,6 +22,7 @@
 UTIL_LOAD, REPORT_MEMORY_MS = 2.0, 1000.0  # attempts that full use counts as; a report ages
 SHARERS = 6  # gateways that send to one server before others: so many share what it does
 COLD_FAILING, TOSS_MS = 0.5, 1000.0  # a cold server that fails more is passed by; a new chance for a request
+COLD_SPARE = 2.0  # one part in so many of what the settings allow a cold server is used; chance has the rest
 FLEET_MEMORY_MS = 30_000.0  # over which the warm fleet of late counts as what carries the load
 
 
@@ -62,7 +63,11 @@
                 share = self.warmth(now, backend)
                 (self.warm if share >= 1 else self.cold).append(backend)
                 self.capacity += share
-        self.reference = max(self.capacity, self.reference)
+        # Who has just started does not know the fleet of late. Each ready server, warm, would carry its part
+        # of all traffic at least: so much of it the settings let a cold one have.
+        ready = len(self.warm) + len(self.cold)
+        self.least = max(self.capacity, COLD_SPARE * ready / max(1.0, self.settings.fall_multiple))
+        self.reference = max(self.least, self.reference)
         self.near = self.part_of(self.warm)
 
     def part_of(self, servers: list[Backend]) -> list[Backend]:
@@ -88,7 +93,9 @@
 
     def step(self, now: float) -> None:
         """One period has gone by."""
-        self.reference = max(self.capacity, self.reference * math.exp(-PERIOD_MS / FLEET_MEMORY_MS))
+        self.reference = max(self.least, self.reference * math.exp(-PERIOD_MS / FLEET_MEMORY_MS))
+        self.firsts, self.tosses = (
+            count * math.exp(-PERIOD_MS / REPORT_MEMORY_MS) for count in (self.firsts, self.tosses))
         self.sends *= math.exp(-PERIOD_MS / REPORT_MEMORY_MS)
         if self.cold:
             self.sort(now)
@@ -125,8 +132,10 @@
         if self.cold and now >= request.toss_ms:
             # Danger: a cold server falls over for good when all gateways overdo it. So chance decides, once
             # for each attempt: over all gateways it gets the part that its warmth is of the fleet of late.
-            request.toss_ms = now + TOSS_MS
-            toss = self.rng.random() * self.reference
+            # What tries again, a copy or one held for long, lowers the chance of all: parts are of requests.
+            self.firsts += not request.tosses
+            request.tosses, self.tosses, request.toss_ms = request.tosses + 1, self.tosses + 1, now + TOSS_MS
+            toss = self.rng.random() * self.reference * max(1.0, self.tosses / max(1.0, self.firsts))
             for backend in self.cold:
                 toss -= self.warmth(now, backend)
                 if toss < 0:
--- a/anisefront/state.py
+++ b/anisefront/state.py
@@ -96,7 +96,8 @@
     streaming: bool = False
     whole: bool = True  # its last byte has come
     parted: bool = False  # a part of its body is no longer held: it can't be sent again
-    toss_ms: float = 0.0  # not before then may it try for a cold server again
+    tosses: int = 0  # how often it has tried for a cold server
+    toss_ms: float = 0.0  # not before then may it try again
 
 
 @dataclass(slots=True, eq=False)
@@ -157,5 +158,8 @@
     near: list[Backend] = field(default_factory=list)  # of the warm ones, those that are ours before others
     capacity: float = 0.0  # warmth of those ready in sum, now and of late
     reference: float = 0.0
+    least: float = 0.0  # of the reference
+    firsts: float = 0.0  # fading count of requests that tried for a cold server, and of all their tries
+    tosses: float = 0.0
     sends: float = 0.0  # fading count of our sends
     sightings: list[tuple[float, Sighting]] = field(default_factory=list)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,7 +2,9 @@
 
 import heapq
 import itertools
+import math
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -351,6 +353,67 @@
         assert window.count("cold") <= share * warm * 1.5 + 3
 
 
+def cold_load(gateways, seed, warm, known, start_spread_ms=0.0, servers=20, calls_per_s=30.0):
+    """How far the calls that reach a cold server in any window of the settings are, at the most, beyond what
+    they allow it then and what chance may add. Of the servers `warm` are; the others start at once, and the
+    fleet is in full use. The gateways start with them, or have `known` the fleet of before for 2 s. Of the
+    attempts one of six fails, and of the others one of ten takes long enough for a second copy."""
+    rng, order = random.Random(seed), itertools.count()
+    config = settings(gateways=gateways, plans=(Plan("free"),),
+                      classes=(RequestClass("look", 4000, 15_000, 2, Repeat.SAFE),))
+    town = {n: Controller(replace(config, number=n), rng.randrange(1 << 30)) for n in range(gateways)}
+    now = begin = 50_000.0
+    start = begin + 2000 * known
+    before = [Server(f"s{n}", "z0", 0, State.READY) for n in range(servers)]
+    after = [server if n < warm else replace(server, started_ms=start) for n, server in enumerate(before)]
+    later, sent, serial = [], {server.id: [] for server in after[warm:]}, 0
+    for n in town:
+        heapq.heappush(later, (begin, next(order), n, Fleet(tuple(before if known else after))))
+        if known:
+            learned = start + rng.uniform(0, start_spread_ms)
+            heapq.heappush(later, (learned, next(order), n, Fleet(tuple(after))))
+    while now < start + 2400:
+        now += TICK
+        inbox = {}
+        if rng.random() < servers * calls_per_s * TICK / 1000 / 3:
+            for _ in range(3):
+                serial += 1
+                inbox.setdefault(rng.randrange(gateways), []).append(
+                    Arrival(serial, f"{serial % 97:016x}", "look", "free", now + 15_000, 1, 0, gateways))
+        while later and later[0][0] <= now:
+            _, _, gateway, event = heapq.heappop(later)
+            inbox.setdefault(gateway, []).append(event)
+        for n, events in inbox.items():
+            for action in town[n].handle(now, events):
+                if isinstance(action, Send):
+                    if now >= start and action.server in sent:
+                        sent[action.server].append(now)
+                    attempt = town[n].requests[action.id].attempts - 1 if action.id in town[n].requests else 0
+                    result = Result.ERROR if rng.random() < 1 / 6 else Result.OK
+                    took = 20.0 if result is Result.ERROR else 900.0 if rng.random() < 0.1 else 70.0
+                    heapq.heappush(later, (now + took, next(order), n, Outcome(
+                        action.id, attempt, action.server, took, result, result is Result.OK)))
+                elif isinstance(action, Wake):
+                    heapq.heappush(later, (now + max(1.0, action.after_ms), next(order), n, Woken("agenda")))
+    beyond = -math.inf
+    for times in sent.values():
+        for first, since in enumerate(times):
+            count = sum(at < since + config.fall_window_ms for at in times[first:])
+            warmth = config.cold_from + (1 - config.cold_from) * (since - start) / config.warm_up_ms
+            allowed = config.fall_multiple * warmth * calls_per_s * config.fall_window_ms / 1000
+            beyond = max(beyond, count - (allowed + 2 * allowed ** 0.5 + 2))
+    assert sum(map(len, sent.values()))  # a cold server has to be tried, or it never serves
+    return beyond
+
+
+@pytest.mark.parametrize("gateways", (1, 3, 30, 230))
+@pytest.mark.parametrize("warm, known", ((19, True), (8, True), (8, False), (0, True), (0, False)))
+def test_the_sum_of_all_gateways_does_not_push_a_cold_server_over(gateways, warm, known):
+    """Where all servers were cold, gateways that had just started sent them all there was, and requests that
+    were held tried for a cold server once a second each."""
+    assert cold_load(gateways, 2, warm, known) <= 0
+
+
 def beyond_quotas(gateways, seed, ms=9000, customers=40):
     """The share of the units sent on that are beyond quotas, and of the tries refused of customers inside
     theirs. Every eighth customer asks for three times its quota, some for nearly all, others for a third."""
