Refuse a keyed request that may have run only while the servers know it

By the protocol a 503 says that trying again is harmless. A keyed request of group "all" that may have run was refused whenever its time was up (`refuse_or_fail`), also long after its window: a connection that is silent, and is reset after the window, brings just that. The client that comes again is then served a second time.

It is refused now only if the client, coming again after the advised wait, still finds it known; else it fails, with no promise.

--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -384,10 +384,11 @@
             return None
         if until_ms <= self.now:
             return []
-        same, group = anchor.entry, request.kind.scope
+        group = request.kind.scope
         return None if group is Scope.ALL else [
-            backend for backend in self.servers.warm + self.servers.cold if backend.entry.zone == same.zone
-            and (group is Scope.ZONE or backend.entry.cell == same.cell)]
+            backend for backend in self.servers.warm + self.servers.cold
+            if backend.entry.zone == anchor.entry.zone
+            and (group is Scope.ZONE or backend.entry.cell == anchor.entry.cell)]
 
     def answer_time(self, kind: RequestClass) -> float:
         """What an attempt is taken to need. Bounded: past the aim all would be refused, and nothing heal."""
@@ -430,11 +431,14 @@
             self.refuse_or_fail(request)
 
     def refuse_or_fail(self, request: Request) -> None:
-        """The final answer. A refusal says that a retry is harmless, so only where that is certain."""
-        keyed = request.kind.repeat is Repeat.KEYED and request.kind.scope is Scope.ALL
-        if request.kind.repeat is Repeat.SAFE or keyed or not request.uncertain:
-            advice = max(TELL_MS, request.arrival.units * 1000 / (request.plan.rate_per_s or math.inf))
-            self.actions.append(Refuse(request.arrival.id, min(advice, self.settings.max_retry_after_ms)))
+        """The final answer. A refusal says that a retry is harmless, so only where that is certain: of what
+        may have run, while all servers still know it when the client comes again."""
+        advice = max(TELL_MS, request.arrival.units * 1000 / (request.plan.rate_per_s or math.inf))
+        advice = min(advice, self.settings.max_retry_after_ms)
+        again_ms = self.now + advice if request.kind.scope is Scope.ALL else math.inf
+        until_ms = self.repeat_until(request)
+        if until_ms == math.inf or again_ms < until_ms:
+            self.actions.append(Refuse(request.arrival.id, advice))
         else:
             self.actions.append(Fail(request.arrival.id))
         self.close(request)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -104,13 +104,14 @@
             self.ceilings[arrival.customer] = (level, now)
         self.sent[number].append((now, server))
 
-    def answer(self, now, number, refused):
+    def answer(self, now, number, refused, retry_in_ms=0.0):
         _, arrival = self.open.pop(number)
         kind = self.kinds[arrival.class_name]
         assert now <= arrival.due_ms + SLACK, "rule 1: late"
         if refused and self.unproved(number):
             all_of_them = kind.repeat is Repeat.KEYED and kind.scope is Scope.ALL
-            assert kind.repeat is Repeat.SAFE or all_of_them, "rule 2: refused though it may have run"
+            known = all_of_them and now + retry_in_ms < self.unproved(number)[0][0] + kind.window_ms
+            assert kind.repeat is Repeat.SAFE or known, "rule 2: refused though it may have run"
         self.done.add(number)
 
 
@@ -190,7 +191,8 @@
         elif isinstance(action, (Refuse, Fail)):
             if action.id in self.checker.open:
                 assert action.id not in self.streams, "rule 1: a started stream was ended"
-                self.checker.answer(self.now, action.id, isinstance(action, Refuse))
+                refused = isinstance(action, Refuse)
+                self.checker.answer(self.now, action.id, refused, action.retry_in_ms if refused else 0.0)
         elif isinstance(action, Cancel):
             self.later(0.5, n, (action.id, action.attempt, Result.CANCELLED))
         elif isinstance(action, Wake):
