Keep a repeat where its first attempt was sent, should its server move

The zone and cell that bind a repeat were read from the server's entry at the time of the repeat, which a list that moves the server to another zone or cell changes. The entry of the time of the send binds now. Its test fails without the mend.

--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -360,7 +360,7 @@
         request.out[request.attempts] = backend
         request.tried.append(backend)
         if not request.uncertain:
-            request.anchor, request.anchor_ms = backend, self.now
+            request.anchor, request.anchor_ms = backend.entry, self.now
         request.attempts, request.uncertain = request.attempts + 1, request.uncertain + 1
         backend.out, self.servers.sends = backend.out + 1, self.servers.sends + 1
         self.window.count(self.now, 1)
@@ -386,9 +386,8 @@
             return []
         group = request.kind.scope
         return None if group is Scope.ALL else [
-            backend for backend in self.servers.warm + self.servers.cold
-            if backend.entry.zone == anchor.entry.zone
-            and (group is Scope.ZONE or backend.entry.cell == anchor.entry.cell)]
+            backend for backend in self.servers.warm + self.servers.cold if backend.entry.zone == anchor.zone
+            and (group is Scope.ZONE or backend.entry.cell == anchor.cell)]
 
     def answer_time(self, kind: RequestClass) -> float:
         """What an attempt is taken to need. Bounded: past the aim all would be refused, and nothing heal."""
--- a/anisefront/state.py
+++ b/anisefront/state.py
@@ -83,7 +83,7 @@
     out: dict[int, Backend] = field(default_factory=dict)  # attempts out
     tried: list[Backend] = field(default_factory=list)
     uncertain: int = 0  # attempts out or not proved never to have run
-    anchor: Backend | None = None  # server of the first of these, and when it was sent
+    anchor: Server | None = None  # server of the first of these as it was listed then, and when it was sent
     anchor_ms: float = 0.0
     serial: int = 0  # of its business with the home; 0: none
     asks: int = 0
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from dataclasses import replace
 
 import pytest
 from test_rules import settings
@@ -96,6 +97,17 @@
     assert (len(of(Refuse, actions)), len(of(Fail, actions))) == (harmless, not harmless)
 
 
+@pytest.mark.parametrize("name, moved", (("hold", ("z1", 0)), ("book", ("z0", 2))))
+def test_a_repeat_stays_where_its_server_was_when_it_was_sent(name, moved):
+    c, (zone, cell) = gateway(), moved
+    first = Server("a", "z0", 0, State.READY)
+    send, = of(Send, c.handle(1000, [Fleet((first,)), ask(1, name)]))
+    others = Server("b", "z0", 0, State.READY), Server("c", zone, cell, State.READY)
+    c.handle(1010, [Fleet((replace(first, zone=zone, cell=cell), *others))])
+    again, = of(Send, c.handle(1050, [outcome(send, Result.RESET)]))
+    assert again.server == "b"
+
+
 def test_unsafe_is_tried_again_when_it_never_ran():
     c = gateway()
     send, = of(Send, c.handle(1000, [FLEET, ask(1, "debit")]))
