--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -90,7 +90,8 @@
 
 @pytest.mark.parametrize("after_ms, harmless", ((100, True), (1100, False)))
 def test_a_keyed_request_that_may_have_run_is_refused_only_while_it_is_known(after_ms, harmless):
-    """Reset long after it was sent it was answered with 503, come again, though no server knew it any more. Its window is of 1200 ms, and clients are told to wait for 250 ms."""
+    """Reset long after it was sent it was answered with 503, come again, though no server knew it any more. Its
+    window is of 1200 ms, and clients are told to wait for 250 ms."""
     c = gateway(max_attempts=1)
     send, = of(Send, c.handle(1000, [FLEET, ask(1, "seat")]))
     actions = c.handle(1000 + after_ms, [outcome(send, Result.RESET)])
