Take no reset for the end of an answer that has no length

Then libuv reads the bytes, sees that less came than it asked for, and tells the hang-up as an end of file; the error stays in the socket. `eof_received` took that for the end of the answer. At the end of an answer that has no other end the socket is read once more: a reset shows there.

--- a/plumpick/workers.py
+++ b/plumpick/workers.py
@@ -7,6 +7,7 @@
 import json
 import logging
 import math
+import os
 import select
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
@@ -184,10 +185,19 @@
 
     def eof_received(self) -> None:
         """The worker ends its sending: so ends an answer that has no other end."""
-        if self.attempt is not None and self.to_end and not self.closed:
+        if self.attempt is not None and self.to_end and not self.closed and not self.is_reset():
             self.complete, self.keep = True, False
             self._answered()
 
+    def is_reset(self) -> bool:
+        """Whether the end that was told is a reset. Where one comes close behind the last bytes, the loop reads
+        these, sees that there is no more, and calls it an end; the error waits for whoever reads next."""
+        try:
+            plug = self.transport.get_extra_info("socket")  # type: ignore[union-attr]
+            return os.read(plug.fileno(), 1) != b""
+        except OSError:
+            return True
+
     def connection_lost(self, _problem: Exception | None) -> None:
         self.parser = None  # it holds this connection: the two would wait for the collector
         self._leave()
--- a/tests/test_gatekeeper.py
+++ b/tests/test_gatekeeper.py
@@ -6,6 +6,7 @@
 import os
 import select
 import socket
+import struct
 import weakref
 
 import pytest
@@ -109,6 +110,33 @@
     one_worker(scenario)
 
 
+@pytest.mark.parametrize("ends", ("in order", "reset"))
+@pytest.mark.parametrize("size", (6, 40_000))
+def test_an_answer_without_a_length_that_is_reset_close_behind_its_bytes_is_not_whole(size, ends):
+    """Seen on split+brink of brevik-ferries, seed 55: answered with 200 and what had come of the answer."""
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        with socket.create_server((HOST, 0)) as server:
+            server.setblocking(False)
+            async with Gate(Script(), known=[entry("w1", server.getsockname()[1])]) as gate:
+                client = await gate.client()
+                client.send(request())
+                plug, _ = await loop.sock_accept(server)
+                await loop.sock_recv(plug, 4096)
+                # All before the loop looks again: the bytes, and behind them how the connection ends.
+                plug.send(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + b"x" * size)
+                if ends == "reset":
+                    plug.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                plug.close()
+                told = await client.answer()
+                done = await gate.script.event(Outcome)
+                if ends == "in order":
+                    assert (told[0], told[2], done.result) == (200, b"x" * size, Result.OK)
+                else:
+                    assert done.result is Result.RESET and (told is None or told[0] == 502)
+    run(scenario())
+
+
 def test_a_refused_connection_could_not_connect():
     async def scenario():
         async with FakeWorker() as worker:
