Leave out of a message what it has no room for, in place of raising

Found while looking through the byte widths for 1,024 gateways and servers: class and plan have 4 bits each in an item. The 17th class of a customer's settings raised in `encode`, after the turn's decisions: all its sends and answers were lost (`struct.error` in the test without the mend), or a sighting counted for another class. What has no room is left out; those customers go on credit, as with a silent home.

--- a/anisefront/messages.py
+++ b/anisefront/messages.py
@@ -14,6 +14,7 @@
 _ITEM = struct.Struct("<BIHHHB")  # kind, customer tag, serial, units x 16, asked a second x 16, both indexes
 _SIGHTING = struct.Struct("<HB")  # server tag, class and grade
 MAX_SIGHTINGS = 4
+MAX_INDEX = 16  # classes and plans that can be told of
 MAX_ITEMS = (MAX_BYTES - _HEAD.size - MAX_SIGHTINGS * _SIGHTING.size) // _ITEM.size
 
 
@@ -64,7 +65,7 @@
 def sighting(server: str, class_index: int, ratio: float) -> Sighting:
     """What was seen of a server: the answer time against the usual, or inf for a failure."""
     grade = _FAILED if ratio == math.inf else _EVEN + round(2 * math.log2(max(0.25, min(32.0, ratio))))
-    return Sighting(server_tag(server), class_index & 15, grade)
+    return Sighting(server_tag(server), class_index, grade)
 
 
 def ratio_of(seen: Sighting) -> float:
@@ -83,8 +84,10 @@
 
 
 def encode(boot: int, room: float, items: list[Item], sightings: list[Sighting]) -> bytes:
-    """The message; items and sightings beyond what it holds are left out."""
-    items, sightings = items[:MAX_ITEMS], sightings[:MAX_SIGHTINGS]
+    """The message; items and sightings beyond what it holds are left out, and so is what has no room in one:
+    raising here would cost the sender a whole turn."""
+    items = [item for item in items[:MAX_ITEMS] if max(item.class_index, item.plan_index) < MAX_INDEX]
+    sightings = [seen for seen in sightings[:MAX_SIGHTINGS] if seen.class_index < MAX_INDEX]
     parts = [_HEAD.pack(_VERSION, boot & 0xFFFF, _clip(room * 64), len(items))]
     for item in items:
         parts.append(_ITEM.pack(item.kind, item.tag, item.serial & 0xFFFF, _clip(item.units * 16),
