Test a start of 230, a thousand of each, and clients that fill the descriptors

The queue of new connections and that of messages to the next process were 512 and 256, and are 1,024.

--- a/plumpick/handover.py
+++ b/plumpick/handover.py
@@ -23,9 +23,9 @@
 
 ANSWER_S = 1.0  # for the whole answer of the process before; a mute one must not delay a start
 PART, PACKET, MOST_FDS = 32 * 1024, 64 * 1024, 4
-QUEUE_MOST = 256  # messages of peers that wait to go out; more are lost, as any datagram may be
+QUEUE_MOST = 1024  # messages of peers that wait to go out; more are lost, as any datagram may be
 LEAST_SOCKETS = 64  # descriptors to begin with, however many the process before holds
-BACKLOG = 512
+BACKLOG = 1024
 
 log = logging.getLogger(__name__)
 
--- a/plumpick/workers.py
+++ b/plumpick/workers.py
@@ -190,8 +190,8 @@
             self._answered()
 
     def is_reset(self) -> bool:
-        """Whether the end that was told is a reset. Where one comes close behind the last bytes, the loop reads
-        these, sees that there is no more, and calls it an end; the error waits for whoever reads next."""
+        """Whether the end that was told is a reset. Where one comes close behind the last bytes, the loop
+        reads these, sees that there is no more, and calls it an end; the error waits for who reads next."""
         try:
             plug = self.transport.get_extra_info("socket")  # type: ignore[union-attr]
             return os.read(plug.fileno(), 1) != b""
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -226,11 +226,11 @@
 class FakeDiscovery:
     """Discovery: gives calls to the test, which answers each by hand."""
 
-    def __init__(self):
-        self.calls = asyncio.Queue()
+    def __init__(self, port=0):
+        self.calls, self.port = asyncio.Queue(), port
 
     async def __aenter__(self):
-        self.server = await asyncio.start_server(self._serve, HOST, 0)
+        self.server = await asyncio.start_server(self._serve, HOST, self.port)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -90,8 +90,8 @@
 
 @pytest.mark.parametrize("after_ms, harmless", ((100, True), (1100, False)))
 def test_a_keyed_request_that_may_have_run_is_refused_only_while_it_is_known(after_ms, harmless):
-    """Reset long after it was sent it was answered with 503, come again, though no server knew it any more. Its
-    window is of 1200 ms, and clients are told to wait for 250 ms."""
+    """Reset long after it was sent it was answered with 503, come again, though no server knew it any more.
+    Its window is of 1200 ms, and clients are told to wait for 250 ms."""
     c = gateway(max_attempts=1)
     send, = of(Send, c.handle(1000, [FLEET, ask(1, "seat")]))
     actions = c.handle(1000 + after_ms, [outcome(send, Result.RESET)])
@@ -485,6 +485,51 @@
     assert sum(lent[:25]) >= 13  # in 0.5 s: 8 that were sure at the start, and 6 that came since
 
 
+def test_what_no_message_has_room_for_is_left_out_of_it():
+    """The 17th class raised for the whole turn, and all its sends were lost."""
+    item = messages.Item(messages.Kind.ASK, 7, 3, 1.0, 2.0, 1, 2)
+    seen = messages.sighting("s", 16, 1.0), messages.sighting("s", 15, 1.0)
+    news = messages.decode(messages.encode(1, 1.0, [
+        item._replace(class_index=16), item, item._replace(plan_index=16)], list(seen)))
+    assert news.items == (item,) and [one.class_index for one in news.sightings] == [15]
+    kinds = tuple(RequestClass(f"k{n}", 600, 1500, 2, Repeat.SAFE) for n in range(20))
+    c = gateway(classes=kinds)
+    c.handle(1000, [FLEET])
+    for turn in range(1, 40):
+        actions = c.handle(1000 + 4 * turn, [ask(turn, f"k{turn % 20}", customer=f"{turn:016x}")])
+        c.handle(1002 + 4 * turn, [outcome(send, Result.OK) for send in of(Send, actions)])
+    assert not c.faults
+
+
+MANY = 1024  # gateways, and servers
+
+
+def test_a_thousand_gateways_and_servers_go_through_the_module():
+    """Each server is known, nearly each is found by its tag, and each gateway is heard and can be told."""
+    servers = tuple(Server(f"s-{n:08x}", f"z{n % 3}", n % 64, State.READY, 1.0, 0.0 if n % 8 else 900.0)
+                    for n in range(MANY))
+    c = gateway(gateways=MANY, number=0)
+    sent, told, number = set(), set(), 0
+    c.handle(1000, [Fleet(servers)])
+    assert len(c.servers.known) == MANY and len(c.servers.by_tag) > 0.97 * MANY
+    for turn in range(600):
+        now = 1004.0 + 4 * turn
+        arrivals = [Arrival(number + n, f"{turn % 300:016x}", "look", "rated", now + 900, 1, 4 * turn % MANY,
+                            64) for n in range(4)]
+        number += 4
+        actions = c.handle(now, [Woken("agenda"), *arrivals])
+        sent |= {send.server for send in of(Send, actions)}
+        told |= {tell.receiver for tell in of(Tell, actions)}
+        assert all(len(tell.data) <= messages.MAX_BYTES for tell in of(Tell, actions))
+        c.handle(now + 1, [outcome(send, Result.OK) for send in of(Send, actions)])
+    assert max(told) > 255 and len(told) > 100 and len(sent) >= 6
+    news = messages.encode(7, 1.0, [], [messages.sighting(servers[1000].id, 0, math.inf)])
+    c.handle(3410, [Heard(MANY - 1, news), Heard(MANY, news)])
+    assert MANY - 1 in c.quota.heard_ms and MANY not in c.quota.heard_ms
+    assert c.servers.known[servers[1000].id].bad
+    assert not c.faults
+
+
 def parts(gateways, servers):
     return [Servers(settings(number=n, gateways=gateways), random.Random(1), ["look"]).part_of(servers)
             for n in range(gateways)]
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import socket
 import sys
@@ -224,3 +225,124 @@
                 process.kill()
                 await process.wait()
     run(whole())
+
+
+def of_a_fleet(discovery_port, port, size, **more):
+    """A configuration in a fleet of so many, which asks for its lists, or has them pushed."""
+    value = config(discovery_port, port, **more)
+    value["settings"]["balancers"] = size
+    return value
+
+
+@pytest.mark.parametrize("discovery", ("automatic", "subscribe"))
+@pytest.mark.parametrize("trouble", ("silent", "down", "turns away", "breaks off"))
+def test_in_a_large_fleet_it_is_up_in_time_whatever_discovery_does_and_serves_the_known_list(
+        tmp_path, trouble, discovery):
+    """Within 10 s, when 230 start at once. News is taken once there is any."""
+    async def whole():
+        async with FakeDiscovery() as fake, FakeWorker() as worker, FakeWorker() as other:
+            async def turn_away():
+                while True:
+                    _, writer = await fake.called()
+                    writer.write(answer(503)) if trouble == "turns away" else writer.transport.abort()
+            turning = asyncio.create_task(turn_away()) if trouble in ("turns away", "breaks off") else None
+            port, path = free_port(), tmp_path / "config.json"
+            value = of_a_fleet(free_port() if trouble == "down" else fake.port, port, 230,
+                               known=[entry("w1", worker.port)])
+            value["settings"]["discovery"] = discovery
+            path.write_text(json.dumps(value))
+            process = await start(path)
+            try:
+                async with asyncio.timeout(10):
+                    await until_up(port)
+                client = await Client().open(port)
+                client.send(request())
+                _, writer = await worker.asked()
+                writer.write(answer())
+                assert (await client.answer())[0] == 200
+                if turning:  # it is back
+                    turning.cancel()
+                    news = listing(entry("w1", worker.port, "gone"), entry("w2", other.port), index=2,
+                                   snapshot=False)
+                    async with asyncio.timeout(6):
+                        while "since=2&" not in (called := await fake.called())[0]:
+                            called[1].write(told(news))
+                    client.send(request())
+                    _, writer = await other.asked()
+                    writer.write(answer())
+                    assert (await client.answer())[0] == 200
+            finally:
+                process.kill()
+                await process.wait()
+    run(whole())
+
+
+def test_a_thousand_peers_and_workers_are_within_the_limits(tmp_path):
+    """192 MB at most on the days that count, and 256 descriptors at least."""
+    async def whole():
+        async with FakeDiscovery() as fake:
+            port, path = free_port(), tmp_path / "config.json"
+            workers = [entry(f"s-{n:08x}", 5000 + n) for n in range(1024)]
+            value = of_a_fleet(fake.port, port, 1024, known=workers, peer_listen=f"{HOST}:{free_port()}",
+                               peers=[f"127.1.{n // 256}.{n % 256}:7946" for n in range(1024)])
+            path.write_text(json.dumps(value))
+            process = await start(path)
+            try:
+                _, writer = await fake.called()
+                writer.write(told(listing(*workers, entry("one-more", 4999), index=2)))
+                await until_up(port)
+                status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+                kilobytes = int(status.split("VmHWM:")[1].split()[0])
+                assert kilobytes < 96 * 1024 and len(os.listdir(f"/proc/{process.pid}/fd")) < 64
+            finally:
+                process.kill()
+                await process.wait()
+    run(whole())
+
+
+async def listed_at_door(port):
+    """How many workers the process knows, by the figures at its door."""
+    client = await Client().open(port)
+    _, _, body = await client.send(b"GET /_vars HTTP/1.1\r\nHost: h\r\n\r\n").answer()
+    client.close()
+    line, = [line for line in body.decode().splitlines() if line.startswith("edge_balancer_registry")]
+    return float(line.split()[-1])
+
+
+def cpu_s(process):
+    user, system = pathlib.Path(f"/proc/{process.pid}/stat").read_text().rsplit(")", 1)[1].split()[11:13]
+    return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+
+
+def test_idle_clients_leave_discovery_and_the_door_their_descriptors(tmp_path):
+    """Discovery is down, and they take all that they may, and more. The process neither ends nor spins at the
+    limit, and takes the list in time when discovery is back."""
+    async def whole():
+        loop, idle = asyncio.get_running_loop(), []
+        port, door, list_port, path = free_port(), free_port(), free_port(), tmp_path / "config.json"
+        path.write_text(json.dumps(of_a_fleet(
+            list_port, port, 230, known=[entry("w1", 9)], control=f"{HOST}:{door}")))
+        process = await start(path, preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (256, 256)))
+        try:
+            await until_up(port)
+            spent_s, began_s = cpu_s(process), loop.time()
+            for _ in range(400):
+                idle.append(socket.socket())
+                idle[-1].setblocking(False)
+                idle[-1].connect_ex((HOST, port))
+            assert await listed_at_door(door) == 1
+            async with FakeDiscovery(list_port) as fake, asyncio.timeout(6):
+                _, writer = await fake.called()
+                assert len(os.listdir(f"/proc/{process.pid}/fd")) > 100  # of clients 117 at most
+                news = listing(entry("w1", 9), entry("w2", 7), index=2, snapshot=False)
+                writer.write(told(news))
+                while await listed_at_door(door) != 2:
+                    pass
+            assert process.returncode is None
+            assert cpu_s(process) - spent_s < 0.5 + (loop.time() - began_s) / 2
+        finally:
+            for plug in idle:
+                plug.close()
+            process.kill()
+            await process.wait()
+    run(whole())
--- a/tests/test_surroundings.py
+++ b/tests/test_surroundings.py
@@ -3,6 +3,7 @@
 import asyncio
 import bisect
 import contextlib
+import json
 import random
 import socket
 
@@ -375,6 +376,40 @@
 # ---- peers --------------------------------------------------------------------------------------
 
 
+def test_a_thousand_servers_are_listed_indented_as_well():
+    async def scenario(fake, lists, _discovery):
+        _, writer = await fake.called()
+        text = json.dumps(listing(*(entry(f"s-{n:08x}", 5000 + n) for n in range(1024)), index=41), indent=4)
+        writer.write(answer(body=text.encode()))
+        news = await lists.get()
+        assert len({one.server.id for one in news.entries}) == len(news.entries) == 1024 and news.complete
+    watched(scenario)
+
+
+def test_a_thousand_peers_are_told_and_heard():
+    """The last of them, by its address alone."""
+    async def scenario():
+        heard = asyncio.Queue()
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as plug:
+            plug.setblocking(False)
+            plug.bind((f"127.1.{1023 // 256}.{1023 % 256}", 0))
+            port = plug.getsockname()[1]
+            addresses = [f"127.1.{n // 256}.{n % 256}:{port}" for n in range(1024)]
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+                probe.bind((HOST, 0))
+                own = probe.getsockname()[1]
+            value = config(peer_listen=f"{HOST}:{own}", peers=addresses)
+            value["settings"]["balancers"] = 1024
+            peers = Peers(config_from(value, {}), lambda *what: heard.put_nowait(what))
+            peers.open(asyncio.get_running_loop())
+            plug.sendto(b"news", (HOST, own))
+            assert await heard.get() == (1023, b"news")
+            peers.tell(1023, b"more")
+            assert await asyncio.get_running_loop().sock_recv(plug, 300) == b"more"
+            peers.close()
+    run(scenario())
+
+
 def test_peers_hear_each_other_and_no_stranger():
     async def scenario():
         loop = asyncio.get_running_loop()
