--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -330,10 +330,11 @@
                 idle.append(socket.socket())
                 idle[-1].setblocking(False)
                 idle[-1].connect_ex((HOST, port))
+            while len(os.listdir(f"/proc/{process.pid}/fd")) < 100:  # of clients 117 at most, for 2.5 s
+                await asyncio.sleep(0)
             assert await listed_at_door(door) == 1
             async with FakeDiscovery(list_port) as fake, asyncio.timeout(6):
                 _, writer = await fake.called()
-                assert len(os.listdir(f"/proc/{process.pid}/fd")) > 100  # of clients 117 at most
                 news = listing(entry("w1", 9), entry("w2", 7), index=2, snapshot=False)
                 writer.write(told(news))
                 while await listed_at_door(door) != 2:
