Call an overbooked discovery no more often than the 6 s ask for

The bound of the wait is 3.5 s less what the call took, and there a call takes 2 s to be turned away: all call every 3.5 s, where discovery serves 2 to 7 a second.

But discovery may have come back while the first of them waited for its turn, and then 7.5 s could pass. A test has discovery come back inside the first call that is turned away.

--- a/plumpick/discovery.py
+++ b/plumpick/discovery.py
@@ -155,6 +155,7 @@
         """Ask and watch at one address. After a failure it goes on from the version that is known."""
         loop = asyncio.get_running_loop()
         watch_ms = 1  # of the first call, whose answer is waited for, and of the first after a failure
+        refused = False  # the call before was turned away, or broke
         try:
             while True:
                 index, asked_s = self._index, loop.time()
@@ -169,6 +170,7 @@
                     self._take(news)
                     self._index = news.index
                     self._pace.worked()
+                    refused = False
                     if index is not None and watch_ms > 1 and not news.entries \
                             and loop.time() - asked_s < LEAST_GAP_S:
                         await asyncio.sleep(LEAST_GAP_S)
@@ -183,10 +185,13 @@
                         self._pace.turned_away()
                     elif isinstance(problem, OddAnswer):
                         self._index = None
-                    # A watch lasts for long, and a break tells its end. Silence may be as old as the call.
-                    took_s = loop.time() - asked_s
-                    watched = took_s > TURN_S and not isinstance(problem, Unanswered)
-                    await asyncio.sleep(self._pace.after_failure_s(0.0 if watched else took_s))
+                    # Discovery may have come back at any time in a call that was not answered, or was the
+                    # first to be refused. Where it refuses again, it serves nobody sooner for being called
+                    # more. And a watch lasts for long, but a break tells its end.
+                    took_s, silent = loop.time() - asked_s, isinstance(problem, Unanswered)
+                    late = silent or not refused and took_s <= TURN_S
+                    refused = not silent
+                    await asyncio.sleep(self._pace.after_failure_s(took_s if late else 0.0))
         finally:
             self._hang_up()
 
--- a/tests/test_surroundings.py
+++ b/tests/test_surroundings.py
@@ -168,6 +168,23 @@
         assert len(in_all) <= fleet * 30 / 3.0
 
 
+@pytest.mark.parametrize("fleet", (1, 40, 230))
+def test_the_first_call_that_is_turned_away_counts_from_its_beginning(fleet, monkeypatch):
+    """Discovery is back while it waits for its turn, has none for it after 2 s, and has one for the next."""
+    for seed in range(0, fleet, max(1, fleet // 40)):
+        turned = []
+
+        def call(now_s, limit_s, turned=turned):
+            if not now_s or turned:
+                return NEWS, 2.0
+            if now_s < 20:
+                return FAILURES["silence"][0], limit_s
+            turned.append(now_s)
+            return FAILURES["503"][0], 2.0
+        _, answered = calls_of(monkeypatch, call, fleet=fleet, seed=seed)
+        assert answered[1] <= turned[0] + 6.0
+
+
 @pytest.mark.parametrize("failure", FAILURES)
 @pytest.mark.parametrize("pushed", (True, False))
 @pytest.mark.parametrize("fleet", (1, 40, 230))
@@ -186,7 +203,9 @@
             return problem, limit_s if hangs is True else float(hangs)
         begun_s, answered = calls_of(monkeypatch, call, fleet=fleet, seed=seed, pushed=pushed, grace_s=2.0)
         # The first of them is a watch that falls silent: it may go on for as long as it was to wait, and 2 s.
+        # Who is refused again and again has discovery within reach from the last refusal on.
         silent_s = begun_s[2] - 1.02 if hangs is True else 0.0
+        back_s = max(back_s, begun_s[-2] + hangs) if hangs == 2.0 else back_s
         assert answered[1] <= max(back_s + 6.0, silent_s + 2.0 + 2.2 * (not pushed)), (seed, back_s, begun_s)
 
 
