--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -407,7 +407,7 @@
     with tempfile.TemporaryDirectory() as folder:
         try:
             held = asyncio.run(case(record, pathlib.Path(folder), trouble))
-        except (CaseError, OSError) as error:
+        except Exception as error:  # an error of the set-up or of a stand-in says nothing about the rule
             record.say(f"the case could not run: {error!r}")
             sys.exit(COULD_NOT_RUN)
         finally:
