Log and count why requests, attempts and connections ended, and show what is held

The new metrics are on a call of their own, /_diagnostics, because the recording of /_vars is an interface.

--- a/gateway/network/admin/endpoint.py
+++ b/gateway/network/admin/endpoint.py
@@ -52,7 +52,10 @@
         """Whether this process serves and has not handed over to a successor."""
 
     def metrics_text(self) -> bytes:
-        """Return all metrics in the Prometheus text format."""
+        """Return the main metrics in the Prometheus text format."""
+
+    def diagnostics_text(self) -> bytes:
+        """Return the metrics for the analysis of faults in the Prometheus text format."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,7 +88,11 @@
         """Report on `gateway`; listen nowhere yet."""
         self.gateway = gateway
         self.connections: dict[AdminConnection, None] = {}  # the open connections, oldest first
-        self._handlers = {"/_ready": self._readiness_response, "/_vars": self._metrics_response}
+        self._handlers = {
+            "/_ready": self._readiness_response,
+            "/_vars": self._metrics_response,
+            "/_diagnostics": self._diagnostics_response,
+        }
         self._server: asyncio.Server | None = None
 
     async def open(self, address: tuple[str, int] | None) -> None:
@@ -132,6 +139,9 @@
     def _metrics_response(self) -> AdminResponse:
         return AdminResponse(HTTPStatus.OK, self.gateway.metrics_text(), CONTENT_TYPE)
 
+    def _diagnostics_response(self) -> AdminResponse:
+        return AdminResponse(HTTPStatus.OK, self.gateway.diagnostics_text(), CONTENT_TYPE)
+
 
 class AdminConnection(asyncio.Protocol):
     """A connection to the admin endpoint, which is closed after one response."""
--- a/gateway/network/admin/metrics.py
+++ b/gateway/network/admin/metrics.py
@@ -5,9 +5,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from enum import Enum
 
+from gateway.interface.events import AttemptResult
+
 # Prefix of the names of all metrics.
 NAME_PREFIX = "edge_balancer"
 
@@ -23,6 +25,29 @@
     FAULTED = "faulted"
 
 
+class EndReason(Enum):
+    """Why a request ended; the values are written as the label `reason`."""
+
+    SERVED = "served"
+    REJECTED = "rejected"  # by the policy; a retry is harmless
+    FAILED = "failed"  # by the policy
+    GUARD_EXPIRED = "guard_expired"  # the policy gave no final answer before the deadline
+    RESPONSE_CUT_OFF = "response_cut_off"  # its response could not be forwarded to its end
+    CLIENT_LEFT = "client_left"
+    NO_MEMORY = "no_memory"  # rejected before it was opened
+
+
+class CloseReason(Enum):
+    """Why the gateway closed a client connection; the values are written as the label `reason`."""
+
+    REFUSED = "refused"  # a new connection beyond the limit, of which nothing was read
+    EVICTED = "evicted"  # to free a descriptor for a new connection
+    UNUSED_UNDER_OVERLOAD = "unused_under_overload"
+    IDLE = "idle"
+    INPUT_TIMEOUT = "input_timeout"  # its request was not received in time
+    LINGER_TIMEOUT = "linger_timeout"  # its client did not close it after the last response
+
+
 class Metrics:
     """The counters of a process, which start at 0; the values of the gauges are passed to `text`."""
 
@@ -31,13 +56,16 @@
         # Number of requests that have received their final response, by class and final status.
         self.operations = {(name, status): 0 for name in class_names for status in FinalStatus}
         self.forwarded_attempts = 0  # number of attempts written completely to an endpoint
+        self.ends = dict.fromkeys(EndReason, 0)
+        self.closes = dict.fromkeys(CloseReason, 0)
+        self.attempt_results = dict.fromkeys(AttemptResult, 0)
 
     def on_final_response(self, class_name: str, status: FinalStatus) -> None:
         """Count a request of the class that has received its final response."""
         self.operations[class_name, status] += 1
 
     def text(self, *, open_requests: int, registry_entries: int, out_of_rotation: int) -> bytes:
-        """Return all metrics in the text format; the arguments are the current values of the gauges."""
+        """Return the main metrics in the text format; the arguments are the current values of the gauges."""
         name = f"{NAME_PREFIX}_operations_total"
         lines = [
             f"# HELP {name} Requests answered: served, refused or failed.",
@@ -58,12 +86,57 @@
         ]
         return "\n".join(lines).encode()
 
+    def diagnostics_text(self, held: Mapping[str, int]) -> bytes:
+        """Return the metrics for the analysis of faults in the text format.
+
+        Args:
+            held: What the process holds at present, by the value of the label `what`.
+        """
+        lines = [
+            *_family_lines(
+                "ends_total",
+                "counter",
+                "Requests ended, by reason.",
+                "reason",
+                {reason.value: count for reason, count in self.ends.items()},
+            ),
+            *_family_lines(
+                "closes_total",
+                "counter",
+                "Client connections that the gateway closed, by reason.",
+                "reason",
+                {reason.value: count for reason, count in self.closes.items()},
+            ),
+            *_family_lines(
+                "attempts_ended_total",
+                "counter",
+                "Attempts ended, by result.",
+                "result",
+                {result.value: count for result, count in self.attempt_results.items()},
+            ),
+            *_family_lines("held", "gauge", "What the process holds now.", "what", held),
+            "",
+        ]
+        return "\n".join(lines).encode()
+
 
 def escape_label_value(value: str) -> str:
     """Return the value of a label, escaped for the text format."""
     return value.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
 
 
+def _family_lines(
+    suffix: str, metric_type: str, help_text: str, label: str, values: Mapping[str, int]
+) -> list[str]:
+    """Return the lines of a metric with one label, whose values are the keys of `values`."""
+    name = f"{NAME_PREFIX}_{suffix}"
+    return [
+        f"# HELP {name} {help_text}",
+        f"# TYPE {name} {metric_type}",
+        *(f'{name}{{{label}="{escape_label_value(key)}"}} {value}' for key, value in values.items()),
+    ]
+
+
 def _metric_lines(suffix: str, metric_type: str, help_text: str, value: int) -> list[str]:
     name = f"{NAME_PREFIX}_{suffix}"
     return [f"# HELP {name} {help_text}", f"# TYPE {name} {metric_type}", f"{name} {value}"]
--- a/gateway/network/attempt_runner.py
+++ b/gateway/network/attempt_runner.py
@@ -116,6 +116,7 @@
         """Finish the request if the outcome of this attempt decides it, and report the result."""
         self._attempts.remove(attempt)
         request = self._requests.open_requests.get(attempt.request_id)
+        self._requests.log.on_attempt_ended(request, attempt.number, attempt.endpoint_id, outcome.result)
         is_final = request is None or self._finish_request(request, attempt, outcome)
         self._events.enqueue(
             AttemptEnded(
--- a/gateway/network/clients/connection.py
+++ b/gateway/network/clients/connection.py
@@ -569,6 +569,11 @@
         """Whether a request is being received, or the rest of one whose response has been sent already."""
         return self.state is _RECEIVING or self.state is _DISCARDING
 
+    @property
+    def received_bytes(self) -> int:
+        """The size of the part that has been received of an unanswered request, 0 if there is none."""
+        return self.reader.raw_size if self.state is _RECEIVING else 0
+
     @property
     def is_pipelined(self) -> bool:
         """Whether bytes have followed the open request before its response was sent."""
--- a/gateway/network/clients/connection_limiter.py
+++ b/gateway/network/clients/connection_limiter.py
@@ -21,6 +21,8 @@
 import asyncio
 from typing import Protocol
 
+from gateway.network.admin.metrics import CloseReason
+
 # Number of open client connections above which connections without an open request are evicted (closed
 # early), as a fraction of the descriptors that connections to clients and endpoints share.
 EVICTION_THRESHOLD_FRACTION = 0.38
@@ -74,6 +76,13 @@
 SWEEP_INTERVAL_MS = 100.0
 
 
+class CloseRecorder(Protocol):
+    """Records the connections that the gateway closes."""
+
+    def on_connection_closed(self, reason: CloseReason, received_bytes: int) -> None:
+        """Record a close, and the size of the part of a request that has been received."""
+
+
 class LimitedConnection(Protocol):
     """The part of a client connection that the limiter uses."""
 
@@ -85,6 +94,10 @@
     def is_receiving(self) -> bool:
         """Whether a request is being received, or the rest of one whose response has been sent already."""
 
+    @property
+    def received_bytes(self) -> int:
+        """The size of the part that has been received of an unanswered request, 0 if there is none."""
+
     def is_transferable(self) -> bool:
         """Return whether the connection can be handed over: it is idle, and all responses are written."""
 
@@ -119,8 +132,12 @@
 class ConnectionLimiter:
     """Admits client connections, and closes those that exceed a limit on their number or a time limit."""
 
-    def __init__(self, descriptors: int) -> None:
-        """Start without connections, with limits for this number of descriptors."""
+    def __init__(self, descriptors: int, recorder: CloseRecorder | None = None) -> None:
+        """Start without connections, with limits for this number of descriptors.
+
+        `recorder` records the connections that are closed; None records nothing.
+        """
+        self._recorder = recorder
         self.update_limits(descriptors)
         self.open_connections: set[LimitedConnection] = set()  # closing connections included
         self._awaiting_request: ConnectionTimes = {}
@@ -161,6 +178,7 @@
         A connection beyond `max_admitted` is not added, and the caller must close it.
         """
         if len(self.open_connections) >= self.max_admitted:
+            self._record(client, CloseReason.REFUSED)
             return False
         self.open_connections.add(client)
         self._awaiting_request[client] = now_ms
@@ -206,6 +224,7 @@
                 if len(self.open_connections) <= self.eviction_threshold:
                     return
                 if table is self._closing or not client.has_unread_input():
+                    self._record(client, CloseReason.EVICTED)
                     self.remove(client)
                     client.abort()
 
@@ -233,6 +252,7 @@
         timeout_ms = SHUTDOWN_INPUT_TIMEOUT_MS if is_draining else INPUT_TIMEOUT_MS
         for client in _in_table_longer_than(self._awaiting_request, now_ms, timeout_ms):
             if is_draining or client.is_input_overdue(now_ms, timeout_ms, MIN_BODY_BYTES_PER_MS):
+                self._record(client, CloseReason.INPUT_TIMEOUT)
                 client.on_input_timeout()
 
     def _close_unused_under_overload(self, now_ms: float) -> None:
@@ -247,6 +267,7 @@
         unused = [client for client in awaiting if not client.is_receiving]
         unused += _in_table_longer_than(self._idle, now_ms, OVERLOAD_IDLE_MS)
         for client in unused[:excess]:
+            self._record(client, CloseReason.UNUSED_UNDER_OVERLOAD)
             client.close_if_idle()
 
     def _close_expired_idle(self, now_ms: float) -> None:
@@ -260,6 +281,7 @@
         else:
             expired = _in_table_longer_than(self._idle, now_ms, IDLE_TIMEOUT_MS)
         for client in expired:
+            self._record(client, CloseReason.IDLE)
             client.close_if_idle()
 
     def _abort_expired_closing(self, now_ms: float, is_draining: bool) -> None:
@@ -273,8 +295,13 @@
                 client.received_while_closing = False
                 self._closing[client] = self._closing.pop(client) + LINGER_TIMEOUT_MS
             else:
+                self._record(client, CloseReason.LINGER_TIMEOUT)
                 client.abort()
 
+    def _record(self, client: LimitedConnection, reason: CloseReason) -> None:
+        if self._recorder is not None:
+            self._recorder.on_connection_closed(reason, client.received_bytes)
+
     def _remove_from_tables(self, client: LimitedConnection) -> None:
         for table in (self._awaiting_request, self._idle, self._closing):
             table.pop(client, None)
--- a/gateway/network/clients/open_request.py
+++ b/gateway/network/clients/open_request.py
@@ -66,6 +66,7 @@
     body: bytes  # empty if the body is in `upload`
     upload: Upload | None  # a large body, which is forwarded while it is received
     wait_ms: float  # time that the client waits for the response, from the last byte of the request on
+    opened_at_ms: float = 0.0  # clock time at which the request was opened
     attempt_count: int = 0  # attempts started so far
     streaming_attempt: int | None = None  # number of the attempt whose response is being forwarded
     guard_timer: Timer | None = None  # sends a response before the deadline if the controller does not
--- a/gateway/network/gateway.py
+++ b/gateway/network/gateway.py
@@ -70,7 +70,9 @@
         self.attempt_runner = AttemptRunner(
             self.clock, self.upstreams, self.requests, self.attempts, self.controller_loop
         )
-        self.connections = ConnectionLimiter(shareable_descriptors(config.max_descriptors))
+        self.connections = ConnectionLimiter(
+            shareable_descriptors(config.max_descriptors), recorder=self.requests.log
+        )
         self.frontend = self._new_frontend()
 
     def _new_upstream_pool(self) -> UpstreamPool:
@@ -182,7 +184,22 @@
         """Return the metrics in the text format of Prometheus."""
         listed, avoided = self.controller_loop.controller.endpoint_counts(self.clock.now())
         return self.metrics.text(
-            open_requests=len(self.requests.open_requests), registry_entries=listed, out_of_rotation=avoided
+            open_requests=len(self.requests.open_requests),
+            registry_entries=listed,
+            out_of_rotation=avoided,
+        )
+
+    def diagnostics_text(self) -> bytes:
+        """Return the ends of requests and what this process holds in the text format of Prometheus."""
+        return self.metrics.diagnostics_text(
+            {
+                "reserved_bytes": self.memory.reserved_bytes,
+                "capacity_bytes": int(self.memory.capacity_bytes),
+                "client_connections": len(self.connections),
+                "endpoint_connections": self.upstreams.connection_count,
+                "request_ids": len(self.requests.ids),
+                "customers": self.controller_loop.controller.customer_count(),
+            }
         )
 
     # -- hot restart
--- a/gateway/network/recent_ids.py
+++ b/gateway/network/recent_ids.py
@@ -25,6 +25,10 @@
             request_id in self._open or request_id in self._ended or request_id in self._ended_before_rotation
         )
 
+    def __len__(self) -> int:
+        """Return the number of ids."""
+        return len(self._open) + len(self._ended) + len(self._ended_before_rotation)
+
     def add_open(self, request_id: bytes) -> None:
         """Add the id of an open request."""
         self._open.add(request_id)
--- a/gateway/network/request_table.py
+++ b/gateway/network/request_table.py
@@ -7,7 +7,7 @@
 
 from gateway.errors import BadRequestError
 from gateway.interface.events import ClientDisconnected
-from gateway.network.admin.metrics import FinalStatus, Metrics
+from gateway.network.admin.metrics import EndReason, FinalStatus, Metrics
 from gateway.network.attempt_table import AttemptTable
 from gateway.network.clients.open_request import ClientChannel, OpenRequest, upstream_head
 from gateway.network.clients.received_request import ReceivedRequest
@@ -15,6 +15,7 @@
 from gateway.network.clock import Clock, Timers
 from gateway.network.controller_loop import EventSink
 from gateway.network.recent_ids import RecentIds
+from gateway.network.request_log import RequestLog
 
 # Milliseconds by which the deadline that the controller receives is earlier than the client's deadline. The
 # time in between is for the transmission of the response and the delay of timers.
@@ -47,6 +48,7 @@
         """Create an empty table and start the rotation of request ids."""
         self.open_requests: dict[int, OpenRequest] = {}
         self.ids = RecentIds()
+        self.log = RequestLog(clock, metrics)
         self._clock = clock
         self._timers = timers
         self._metrics = metrics
@@ -88,6 +90,7 @@
             received.body,
             received.upload,
             validated.wait_ms,
+            self._clock.now(),
         )
         self.open_requests[request.id] = request
         self.ids.add_open(validated.id)
@@ -122,6 +125,7 @@
         body: bytes = b"",
         content_type: bytes = b"",
         retry_after_ms: float = 0.0,
+        reason: EndReason = EndReason.SERVED,
     ) -> bool:
         """Send a complete response to the client and count it.
 
@@ -130,6 +134,7 @@
         if not self._close_request(request):
             return False
         self._metrics.on_final_response(request.class_name, outcome)
+        self.log.on_request_ended(request, reason, status)
         request.client.send_response(status, body, content_type, retry_after_ms)
         return True
 
@@ -142,17 +147,19 @@
                 FinalStatus.THROTTLED,
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 retry_after_ms=retry_after_ms,
+                reason=EndReason.REJECTED,
             )
 
     def count_rejection(self, class_name: str) -> None:
         """Count a request that was rejected before it was opened, because of a lack of memory."""
         self._metrics.on_final_response(class_name, FinalStatus.THROTTLED)
+        self._metrics.ends[EndReason.NO_MEMORY] += 1
 
     def fail(self, request_id: int) -> None:
         """Respond with 502 to a request that failed, if it is open."""
         request = self.open_requests.get(request_id)
         if request is not None:
-            self.send_response(request, FinalStatus.FAULTED, HTTPStatus.BAD_GATEWAY)
+            self.send_response(request, FinalStatus.FAULTED, HTTPStatus.BAD_GATEWAY, reason=EndReason.FAILED)
 
     def finish_response(self, request: OpenRequest, is_complete: bool) -> None:
         """End and count a response that has been forwarded to the client.
@@ -162,6 +169,8 @@
         self._close_request(request)
         outcome = FinalStatus.FULFILLED if is_complete else FinalStatus.FAULTED
         self._metrics.on_final_response(request.class_name, outcome)
+        reason = EndReason.SERVED if is_complete else EndReason.RESPONSE_CUT_OFF
+        self.log.on_request_ended(request, reason, HTTPStatus.OK)
         if is_complete:
             request.client.finish_response()
         else:
@@ -174,6 +183,7 @@
         """
         if not self._close_request(request):
             return
+        self.log.on_request_ended(request, EndReason.CLIENT_LEFT)
         self._events.enqueue(ClientDisconnected(request.id))
         self._attempts.cancel_streaming(request)
 
@@ -191,7 +201,10 @@
         return True
 
     def _on_guard_expired(self, request: OpenRequest) -> None:
-        if self.send_response(request, FinalStatus.FAULTED, HTTPStatus.GATEWAY_TIMEOUT):
+        is_open = self.send_response(
+            request, FinalStatus.FAULTED, HTTPStatus.GATEWAY_TIMEOUT, reason=EndReason.GUARD_EXPIRED
+        )
+        if is_open:
             self._events.enqueue(ClientDisconnected(request.id))
 
     # -- periodic tasks
--- a/gateway/policy/controller.py
+++ b/gateway/policy/controller.py
@@ -68,6 +68,10 @@
         listed = self.directory.table.listed()
         return len(listed), sum(self.selector.avoids(endpoint) for endpoint in listed)
 
+    def customer_count(self) -> int:
+        """Return the number of customers for which this gateway keeps an account or a leader's bucket."""
+        return len(self.flow.lease_client.accounts.by_key) + len(self.flow.leader.buckets)
+
     def _start_turn(self, now_ms: float) -> None:
         turn = self.context.turn
         timers = self.context.timers
--- a/tests/support/scripted_controller.py
+++ b/tests/support/scripted_controller.py
@@ -36,6 +36,10 @@
                 actions.append(Fail(event.id))
         return actions
 
+    def customer_count(self):
+        """Return 0: this controller keeps no accounts."""
+        return 0
+
     def endpoint_counts(self, _now):
         """Return 0 as the number of listed endpoints and as the number of avoided ones."""
         return 0, 0
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -36,6 +36,13 @@
     assert all(re.search(rf"^\| `{name}[`{{]", RUNBOOK, re.M) for name in names), names
 
 
+def test_runbook_lists_each_metric_for_the_analysis_of_faults():
+    text = Metrics(["reading"]).diagnostics_text({}).decode()
+    names = set(re.findall(r"^# TYPE edge_balancer_(\w+)", text, re.M))
+    assert len(names) == 4
+    assert all(re.search(rf"^\| `{name}[`{{]", RUNBOOK, re.M) for name in names), names
+
+
 @pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
 def test_constants_named_on_a_page_exist(page):
     gateway_source = "\n".join(SOURCES.values())
--- a/tools/fault_injection/gateway_process.py
+++ b/tools/fault_injection/gateway_process.py
@@ -200,8 +200,8 @@
         return status
 
     async def metrics(self) -> dict[str, float]:
-        """Return the metrics by their names with labels; empty if there is no answer within 2 s."""
-        _, text = await self._call_admin("/_vars")
+        """Return all metrics by their names with labels; empty if there is no answer within 2 s."""
+        text = "".join([(await self._call_admin(target))[1] for target in ("/_vars", "/_diagnostics")])
         lines = [line.rsplit(" ", 1) for line in text.splitlines() if line and not line.startswith("#")]
         return {name: float(value) for name, value in lines}
 
