Let a client's time run while the gateway does not read its body

Callers saw the final answer to a large body 2 to 9 s after its time where the endpoint read slowly or not at all, and a 503 at the deadline in place of a long answer without a length that its endpoint was still writing.

While the endpoint does not read, the gateway does not either, and the sockets of both sides hold a body that its client has written long ago; no clock ran but the stall timeout of 5 s. Its class: a clock that starts at the gateway's own step and stands while the gateway itself holds up the transfer. Now the time runs from the first pause until the client has been waited for again (clients/body_flow.py), the policy gives the answer, and the results of the cancelled attempts decide between 503 and 502. The same mistake on a related path: a request that waited in the socket during the pause after a rejected one.

Cause of the second: such a response was buffered up to 16 KiB, and the deadline ended its request. It is now forwarded from its first byte at the deadline, unless its endpoint has sent nothing for 0.5 s; after that, 0.5 s of silence end it. Both causes are in this commit because both need the same deadline handler of the policy.

--- a/gateway/interface/actions.py
+++ b/gateway/interface/actions.py
@@ -51,6 +51,17 @@
     attempt: int  # number of the attempt, from 0
 
 
+@dataclass(frozen=True, slots=True)
+class ForwardResponse:
+    """Forward the response of an attempt that is being buffered, from its first byte on.
+
+    Has no effect if the attempt has ended; its AttemptEnded event then decides how the request continues.
+    """
+
+    id: int
+    attempt: int  # number of the attempt, from 0
+
+
 @dataclass(frozen=True, slots=True)
 class SetTimer:
     """Request a `TimerFired` event with this name; timers cannot be cancelled."""
@@ -80,5 +91,13 @@
 
 
 Action = (
-    SendAttempt | Reject | Fail | CancelAttempt | SetTimer | SendGossip | CheckHealth | SubscribeEndpoints
+    SendAttempt
+    | Reject
+    | Fail
+    | CancelAttempt
+    | ForwardResponse
+    | SetTimer
+    | SendGossip
+    | CheckHealth
+    | SubscribeEndpoints
 )
--- a/gateway/interface/events.py
+++ b/gateway/interface/events.py
@@ -107,6 +107,26 @@
     deadline_at_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class DeadlineUpdated:
+    """The client of an incomplete request may have written its last byte already, or is known to be writing.
+
+    While the gateway does not read a body, it cannot know when the client writes its last byte. The deadline
+    therefore runs until the client is known to be writing, which `deadline_at_ms` infinity reports.
+    """
+
+    id: int
+    deadline_at_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseBegun:
+    """The head of a successful response without a stated length has arrived, and its body is buffered."""
+
+    id: int
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseStarted:
     """The response to an attempt has started streaming; other attempts cannot answer the request any more."""
@@ -175,6 +195,8 @@
     | RequestArrived
     | BodyReleased
     | RequestCompleted
+    | DeadlineUpdated
+    | ResponseBegun
     | ResponseStarted
     | AttemptEnded
     | ClientDisconnected
--- a/gateway/network/attempt_runner.py
+++ b/gateway/network/attempt_runner.py
@@ -4,8 +4,8 @@
 
 from http import HTTPStatus
 
-from gateway.interface.actions import CancelAttempt, SendAttempt
-from gateway.interface.events import AttemptEnded, AttemptResult, ResponseStarted
+from gateway.interface.actions import CancelAttempt, ForwardResponse, SendAttempt
+from gateway.interface.events import AttemptEnded, AttemptResult, ResponseBegun, ResponseStarted
 from gateway.network.admin.metrics import FinalStatus
 from gateway.network.attempt_table import AttemptTable
 from gateway.network.clients.open_request import OpenRequest
@@ -57,6 +57,12 @@
         if attempt is not None:
             attempt.cancel()
 
+    def forward_response(self, action: ForwardResponse) -> None:
+        """Forward the response of an attempt that is being buffered; has no effect if it has ended."""
+        attempt = self._attempts.get(action.id, action.attempt)
+        if attempt is not None and attempt.connection is not None:
+            attempt.connection.forward_response()
+
     def on_request_completed(self, request: OpenRequest, timeout_ms: float) -> None:
         """Start the timeouts of the attempts of a request whose last byte has just been received.
 
@@ -92,6 +98,10 @@
 
     # -- notifications from attempts (`AttemptObserver`)
 
+    def on_response_begun(self, attempt: UpstreamAttempt) -> None:
+        """Report that a response without a stated length is being buffered."""
+        self._events.enqueue(ResponseBegun(attempt.request_id, attempt.number))
+
     def on_response_started(
         self, attempt: UpstreamAttempt, source: ResponseSource, length: int | None, content_type: bytes
     ) -> ResponseSink | None:
@@ -106,8 +116,7 @@
         request.streaming_attempt = attempt.number
         attempt.on_forwarding_started(self._clock.now())
         # From now on the duration of the response is limited by stall detection and not by the deadline.
-        if request.guard_timer is not None:
-            request.guard_timer.cancel()
+        self._requests.stop_guard_timer(request)
         request.client.start_response(source, length, content_type)
         self._events.enqueue(ResponseStarted(request.id, attempt.number, attempt.endpoint_id))
         return request.client
--- a/gateway/network/client_frontend.py
+++ b/gateway/network/client_frontend.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import NoReturn
 
 from gateway.errors import OverloadedError
-from gateway.interface.events import BodyReleased, RequestArrived, RequestCompleted
+from gateway.interface.events import BodyReleased, DeadlineUpdated, RequestArrived, RequestCompleted
 from gateway.network.attempt_runner import AttemptRunner
 from gateway.network.clients.connection_limiter import SWEEP_INTERVAL_MS, ConnectionLimiter
 from gateway.network.clients.open_request import OpenRequest
@@ -129,10 +130,13 @@
 
     # -- requests
 
-    def open_request(self, client: HandledConnection, received: ReceivedRequest) -> OpenRequest:
+    def open_request(
+        self, client: HandledConnection, received: ReceivedRequest, sent_at_ms: float
+    ) -> OpenRequest:
         """Validate and open a request, and report its arrival to the controller.
 
-        The request is complete, or its large body is still being received.
+        The request is complete, or its large body is still being received. The client's time runs from
+        `sent_at_ms` on.
 
         Raises:
             BadRequestError: The request is rejected; the error has the status of the response.
@@ -145,7 +149,7 @@
         if not client.memory.window.try_cover_window():
             self._reject_overload(client, validated, is_complete=is_complete)
         request = self._requests.add(client, validated, received)
-        deadline_at_ms = self._requests.deadline_at_ms(request)
+        deadline_at_ms = self._requests.deadline_at_ms(request, sent_at_ms)
         if is_complete:
             self._requests.start_guard_timer(request, deadline_at_ms)
             self.connections.on_request_complete(client)
@@ -174,14 +178,33 @@
         self._requests.count_rejection(validated.request_class.name)
         raise OverloadedError(min(OVERLOAD_RETRY_AFTER_MS, self._max_retry_after_ms))
 
-    def on_upload_completed(self, request: OpenRequest) -> None:
+    def on_upload_completed(self, request: OpenRequest, sent_at_ms: float) -> None:
         """Start the timeouts of a request whose large body is complete, and report the end of the body."""
-        deadline_at_ms = self._requests.deadline_at_ms(request)
-        self._requests.start_guard_timer(request, deadline_at_ms)
+        deadline_at_ms = self._requests.deadline_at_ms(request, sent_at_ms)
+        self._start_late_guard_timer(request, deadline_at_ms)
         timeout_ms = deadline_at_ms - DEADLINE_MARGIN_MS - self.clock.now()
         self._attempt_runner.on_request_completed(request, timeout_ms)
         self._events.enqueue(RequestCompleted(request.id, deadline_at_ms - DEADLINE_MARGIN_MS))
 
+    def on_request_held_up(self, request: OpenRequest, since_ms: float) -> None:
+        """Start the deadline of an incomplete request that the gateway does not read."""
+        deadline_at_ms = self._requests.deadline_at_ms(request, since_ms)
+        self._start_late_guard_timer(request, deadline_at_ms)
+        self._events.enqueue(DeadlineUpdated(request.id, deadline_at_ms - DEADLINE_MARGIN_MS))
+
+    def _start_late_guard_timer(self, request: OpenRequest, deadline_at_ms: float) -> None:
+        """Start the guard timer of a request whose deadline may have passed already.
+
+        The controller gets the time to answer it before.
+        """
+        earliest_at_ms = self.clock.now() + 2 * DEADLINE_MARGIN_MS
+        self._requests.start_guard_timer(request, max(deadline_at_ms, earliest_at_ms))
+
+    def on_request_flowing(self, request: OpenRequest) -> None:
+        """Stop the deadline of an incomplete request whose client is writing it."""
+        self._requests.stop_guard_timer(request)
+        self._events.enqueue(DeadlineUpdated(request.id, math.inf))
+
     def on_body_released(self, request: OpenRequest) -> None:
         """Report that the start of a request's body has been forwarded and is no longer buffered."""
         self._events.enqueue(BodyReleased(request.id))
--- a/gateway/network/clients/connection.py
+++ b/gateway/network/clients/connection.py
@@ -11,6 +11,7 @@
 from typing import cast
 
 from gateway.errors import BadRequestError, OverloadedError
+from gateway.network.clients.body_flow import BodyFlow
 from gateway.network.clients.body_progress import BodyProgress
 from gateway.network.clients.connection_memory import ConnectionMemory
 from gateway.network.clients.connection_state import ConnectionState
@@ -98,10 +99,12 @@
         # exponent of the next pause after a rejection.
         self._rejection_count = 0
         self.body_progress = BodyProgress()
+        self._flow = BodyFlow(self, self.body_progress, handler)
+        self._paused_at_ms = 0.0  # clock time at which reading paused after the last rejected request
         self._reset_request_state()
 
     def _reset_request_state(self) -> None:
-        self.set_body_paused(False)
+        self._flow.reset()
         self._keep_alive = True  # whether the connection may stay open after the response
         self._upload: Upload | None = None  # the body of the current request if it is large
         self.reads_widely = False
@@ -156,6 +159,7 @@
         """Release the reader, and deregister the connection and its open request from the handler."""
         self.state = _CLOSING
         self.reader.close()
+        self._flow.close()
         self.memory.release()
         request = self.request
         self.request = None
@@ -237,6 +241,9 @@
         """Begin to receive a request; reject it if the client does not read its earlier responses."""
         self._reset_request_state()
         self.state = _RECEIVING
+        if self._paused_at_ms:
+            self._flow.hold_up(self._paused_at_ms)
+            self._paused_at_ms = 0.0
         if self.transport.get_write_buffer_size() > MAX_RESPONSE_BACKLOG_BYTES:
             self._abort_request(HTTPStatus.BAD_REQUEST)
             return
@@ -255,7 +262,8 @@
         self._upload = Upload(self, event.length, event.first_part, pause_at_bytes)
         received = ReceivedRequest(event.method, event.target, event.headers, b"", self._upload)
         try:
-            self.request = self._handler.open_request(self, received)
+            self.request = self._handler.open_request(self, received, self._flow.sent_at_ms())
+            self._flow.report()
         except BadRequestError as error:
             self._abort_request(error.status)
         except OverloadedError as error:
@@ -270,7 +278,7 @@
             self.state = _RECEIVED
             self._handler.connections.on_request_complete(self)
             self._upload.finish()
-            self._handler.on_upload_completed(self.request)
+            self._handler.on_upload_completed(self.request, self._flow.sent_at_ms())
 
     def _on_request_received(self, event: RequestReceived) -> None:
         self._keep_alive = event.keep_alive
@@ -280,7 +288,7 @@
             self._send_readiness()
             return
         try:
-            self.request = self._handler.open_request(self, request)
+            self.request = self._handler.open_request(self, request, self._flow.sent_at_ms())
         except BadRequestError as error:
             self._reject_complete_request(error.status)
         except OverloadedError as error:
@@ -306,12 +314,15 @@
         self.transport.pause_reading()
         pause_ms = MIN_REJECTION_PAUSE_MS * 2 ** min(self._rejection_count, MAX_PAUSE_DOUBLINGS)
         self._rejection_count += 1
-        resume_at_ms = self._handler.clock.now() + min(MAX_REJECTION_PAUSE_MS, pause_ms)
+        self._paused_at_ms = self._handler.clock.now()
+        resume_at_ms = self._paused_at_ms + min(MAX_REJECTION_PAUSE_MS, pause_ms)
         self._handler.timers.call_at(resume_at_ms, self._resume_after_rejection)
 
     def _resume_after_rejection(self) -> None:
         if self.state is _PAUSED:
             self.state = _IDLE
+            if not self.has_unread_input():
+                self._paused_at_ms = 0.0  # the next request has not been written during the pause
             if not self.transport.is_closing():
                 self.transport.resume_reading()
 
@@ -481,19 +492,8 @@
     # -- the body's flow control
 
     def set_body_paused(self, paused: bool) -> None:
-        """Pause or resume reading a large body.
-
-        The duration of the pause does not count toward the time that the client has to send the body.
-        """
-        if paused == bool(self.body_progress.paused_since_ms) or self.transport.is_closing():
-            return
-        now_ms = self._handler.clock.now()
-        if paused:
-            self.body_progress.pause(now_ms)
-            self.transport.pause_reading()
-        else:
-            self.body_progress.resume(now_ms)
-            self.transport.resume_reading()
+        """Pause or resume reading a large body."""
+        self._flow.set_paused(paused)
 
     def on_body_released(self) -> None:
         """Report that the start of a large body has been forwarded and is no longer buffered."""
@@ -569,6 +569,11 @@
         """Whether a request is being received, or the rest of one whose response has been sent already."""
         return self.state is _RECEIVING or self.state is _DISCARDING
 
+    @property
+    def request_bytes(self) -> int:
+        """The bytes of the current request that have been read."""
+        return self.reader.raw_size
+
     @property
     def received_bytes(self) -> int:
         """The size of the part that has been received of an unanswered request, 0 if there is none."""
--- a/gateway/network/clients/request_handler.py
+++ b/gateway/network/clients/request_handler.py
@@ -66,9 +66,16 @@
     def on_client_disconnected(self, request: OpenRequest) -> None:
         """Close an open request whose client has disconnected; it gets no response."""
 
-    def open_request(self, client: HandledConnection, received: ReceivedRequest) -> OpenRequest:
+    def open_request(
+        self, client: HandledConnection, received: ReceivedRequest, sent_at_ms: float
+    ) -> OpenRequest:
         """Validate a request and open it; its response is written by the methods of `ClientChannel`.
 
+        Args:
+            client: The connection of the request.
+            received: The request; its body may be incomplete.
+            sent_at_ms: The clock time from which the client's time runs.
+
         Raises:
             BadRequestError: The request is rejected; the error has the status of the response.
             OverloadedError: Too little memory is left for the request; it is counted as rejected.
@@ -77,5 +84,14 @@
     def on_body_released(self, request: OpenRequest) -> None:
         """Report that the start of a request's body has been forwarded and is no longer buffered."""
 
-    def on_upload_completed(self, request: OpenRequest) -> None:
-        """Start the timeouts of a request whose large body has been received completely."""
+    def on_upload_completed(self, request: OpenRequest, sent_at_ms: float) -> None:
+        """Start the timeouts of a request whose large body has been received completely.
+
+        The client's time runs from the clock time `sent_at_ms` on.
+        """
+
+    def on_request_held_up(self, request: OpenRequest, since_ms: float) -> None:
+        """Let the time of an incomplete request run from the clock time `since_ms` on."""
+
+    def on_request_flowing(self, request: OpenRequest) -> None:
+        """Stop the time of an incomplete request, because its client is known to be writing it."""
--- a/gateway/network/controller_loop.py
+++ b/gateway/network/controller_loop.py
@@ -15,6 +15,7 @@
     CancelAttempt,
     CheckHealth,
     Fail,
+    ForwardResponse,
     Reject,
     SendAttempt,
     SendGossip,
@@ -54,6 +55,9 @@
     def cancel_attempt(self, action: CancelAttempt) -> None:
         """Cancel an attempt that is in flight."""
 
+    def forward_response(self, action: ForwardResponse) -> None:
+        """Forward a response that is being buffered."""
+
     def set_timer(self, action: SetTimer) -> None:
         """Report a TimerFired event after the delay that the action states."""
 
@@ -128,6 +132,8 @@
                 handler.fail(action)
             case CancelAttempt():
                 handler.cancel_attempt(action)
+            case ForwardResponse():
+                handler.forward_response(action)
             case CheckHealth():
                 handler.check_health(action)
             case SubscribeEndpoints():
--- a/gateway/network/gateway.py
+++ b/gateway/network/gateway.py
@@ -15,6 +15,7 @@
     CancelAttempt,
     CheckHealth,
     Fail,
+    ForwardResponse,
     Reject,
     SendAttempt,
     SendGossip,
@@ -147,6 +148,10 @@
         """Cancel an attempt, if it is in flight."""
         self.attempt_runner.cancel_attempt(action)
 
+    def forward_response(self, action: ForwardResponse) -> None:
+        """Forward the response of an attempt from its first byte on, if it is being buffered."""
+        self.attempt_runner.forward_response(action)
+
     def set_timer(self, action: SetTimer) -> None:
         """Report TimerFired at the first multiple of the tick that is not before the timer's time.
 
--- a/gateway/network/request_table.py
+++ b/gateway/network/request_table.py
@@ -96,21 +96,33 @@
         self.ids.add_open(validated.id)
         return request
 
-    def deadline_at_ms(self, request: OpenRequest) -> float:
-        """Return the clock time of the deadline of a request whose last byte has just been received.
+    def deadline_at_ms(self, request: OpenRequest, sent_at_ms: float) -> float:
+        """Return the clock time of the deadline of a request that its client may have sent at `sent_at_ms`.
 
         The deadline is the client's deadline or, if it is earlier, the planned end of the shutdown of this
         process. The shutdown does not shorten the remaining time below twice DEADLINE_MARGIN_MS.
         """
-        now_ms = self._clock.now()
-        return min(now_ms + request.wait_ms, max(self._shutdown_end_ms, now_ms + 2 * DEADLINE_MARGIN_MS))
+        shutdown_at_ms = max(self._shutdown_end_ms, self._clock.now() + 2 * DEADLINE_MARGIN_MS)
+        return min(sent_at_ms + request.wait_ms, shutdown_at_ms)
 
     def start_guard_timer(self, request: OpenRequest, deadline_at_ms: float) -> None:
-        """Start the timer that responds with 504 shortly before the deadline if the request is still open."""
+        """Start the timer that responds with 504 shortly before the deadline if the request is still open.
+
+        It replaces an earlier guard timer of the request. A response that is being forwarded needs none.
+        """
+        self.stop_guard_timer(request)
+        if request.streaming_attempt is not None:
+            return
         request.guard_timer = self._timers.call_at(
             deadline_at_ms - GUARD_MARGIN_MS, lambda: self._on_guard_expired(request)
         )
 
+    def stop_guard_timer(self, request: OpenRequest) -> None:
+        """Stop the guard timer of a request, if there is one."""
+        if request.guard_timer is not None:
+            request.guard_timer.cancel()
+            request.guard_timer = None
+
     def begin_shutdown(self, end_ms: float) -> None:
         """Limit the deadlines of requests that are received from now on to the clock time `end_ms`."""
         self._shutdown_end_ms = end_ms
@@ -195,8 +207,7 @@
         if self.open_requests.pop(request.id, None) is None:
             return False
         self.ids.mark_ended(request.request_id)
-        if request.guard_timer is not None:
-            request.guard_timer.cancel()
+        self.stop_guard_timer(request)
         self._attempts.expire_unsent(request)
         return True
 
--- a/gateway/network/upstream/attempt.py
+++ b/gateway/network/upstream/attempt.py
@@ -26,6 +26,9 @@
 class AttemptObserver(Protocol):
     """The interface of the object that started an attempt and follows its response."""
 
+    def on_response_begun(self, attempt: UpstreamAttempt) -> None:
+        """Process the begin of a response without a stated length, whose body is buffered at first."""
+
     def on_response_started(
         self, attempt: UpstreamAttempt, source: ResponseSource, length: int | None, content_type: bytes
     ) -> ResponseSink | None:
@@ -46,6 +49,9 @@
     def is_request_unsent(self) -> bool:
         """Whether the operating system has not yet accepted the last byte of the request."""
 
+    def forward_response(self) -> None:
+        """Forward the response that is being buffered from its first byte on."""
+
     def discard(self) -> None:
         """Close the connection without waiting for buffered data."""
 
@@ -136,11 +142,20 @@
         """Drop the body, which has been passed to a connection; an attempt is sent only once."""
         self.body = b""
 
+    @property
+    def is_unsent(self) -> bool:
+        """Whether the operating system has not yet accepted the last byte of the request."""
+        return self.connection is None or self.connection.is_request_unsent
+
     def expire_if_unsent(self) -> None:
         """Fail the attempt with NOT_SENT unless the last byte of its request has been sent."""
-        if self.connection is None or self.connection.is_request_unsent:
+        if self.is_unsent:
             self.fail(AttemptResult.NOT_SENT)
 
+    def on_response_begun(self) -> None:
+        """Report that a response without a stated length is being buffered."""
+        self._observer.on_response_begun(self)
+
     def start_forwarding(
         self, source: ResponseSource, length: int | None, content_type: bytes
     ) -> ResponseSink | None:
@@ -164,8 +179,11 @@
         return (self.response_started_ms or now_ms) - self.started_ms
 
     def cancel(self) -> None:
-        """End the attempt with CANCELLED because its response is no longer needed."""
-        self.fail(AttemptResult.CANCELLED)
+        """End the attempt because its response is no longer needed.
+
+        The result is NOT_SENT if the last byte of the request has not been sent, and CANCELLED otherwise.
+        """
+        self.fail(AttemptResult.NOT_SENT if self.is_unsent else AttemptResult.CANCELLED)
 
     def fail(self, result: AttemptResult) -> None:
         """End the attempt with a result other than a response."""
--- a/gateway/network/upstream/connection.py
+++ b/gateway/network/upstream/connection.py
@@ -21,6 +21,9 @@
 # Milliseconds after which a response that is being forwarded is aborted if no bytes are received or
 # forwarded.
 RESPONSE_STALL_TIMEOUT_MS = 10_000.0
+# The same for a response whose client's time is over. An endpoint that has sent nothing for this time counts
+# as hanging, and not as slow.
+OVERDUE_RESPONSE_STALL_TIMEOUT_MS = 500.0
 # Milliseconds after which a request is aborted if the write buffer is full and the endpoint reads nothing.
 UPLOAD_STALL_TIMEOUT_MS = 5000.0
 # Size in bytes above which the transport reports that its write buffer is full. A request of at most this
@@ -34,6 +37,9 @@
     def on_streaming_started(self, connection: UpstreamConnection) -> None:
         """Start stall detection for a connection that forwards a request body or a response."""
 
+    def on_response_overdue(self, connection: UpstreamConnection) -> None:
+        """Check in short intervals whether a response stalls whose client's time is over."""
+
     def on_streaming_ended(self, connection: UpstreamConnection) -> None:
         """Stop stall detection for a connection; has no effect if it was not started."""
 
@@ -85,6 +91,7 @@
         self._exchange: Exchange | None = None
         self._last_progress_ms = 0.0  # clock time of the last progress of a transfer; see `is_stalled`
         self._is_response_paused = False  # whether the client has paused the response being forwarded
+        self._stall_timeout_ms = RESPONSE_STALL_TIMEOUT_MS  # of the response being forwarded
         self._buffered_bytes = 0  # size of the receiver's write buffer at the last stall check
 
     # -- callbacks of the transport
@@ -151,6 +158,7 @@
     def send_attempt(self, attempt: UpstreamAttempt) -> None:
         """Write the request of an attempt; the upload of a large body writes the remaining parts later."""
         self._exchange = Exchange(attempt, self, self._memory)
+        self._stall_timeout_ms = RESPONSE_STALL_TIMEOUT_MS
         self.reads_widely = False
         attempt.connection = self
         self.writer.start_request()
@@ -162,6 +170,23 @@
         self._owner.on_streaming_started(self)
         attempt.upload.start_forwarding(self.writer, attempt.head)
 
+    def forward_response(self) -> None:
+        """Forward the response that is being buffered from its first byte on.
+
+        The attempt fails instead if the endpoint has sent nothing for OVERDUE_RESPONSE_STALL_TIMEOUT_MS.
+        """
+        exchange = self._exchange
+        if exchange is None or self.is_closed:
+            return
+        if self._clock.now() - self._last_progress_ms > OVERDUE_RESPONSE_STALL_TIMEOUT_MS:
+            self.abort_attempt()
+        elif exchange.forward() is ExchangeState.FAILED:
+            self._fail_exchange(AttemptResult.ERROR)
+        else:
+            self._stall_timeout_ms = OVERDUE_RESPONSE_STALL_TIMEOUT_MS
+            self._owner.on_streaming_started(self)
+            self._owner.on_response_overdue(self)
+
     def set_response_paused(self, paused: bool) -> None:
         """Stop reading the response while the write buffer to its client is full, or resume it."""
         self._last_progress_ms = self._clock.now()
@@ -246,11 +271,12 @@
     def is_stalled(self, now_ms: float) -> bool:
         """Return whether the request being sent or the response being forwarded has stalled.
 
-        A transfer has stalled if it has made no progress for RESPONSE_STALL_TIMEOUT_MS or, in the case of a
-        request whose write buffer is full, for UPLOAD_STALL_TIMEOUT_MS. There is progress when bytes arrive,
-        when reading or writing is paused or resumed, and when the size of the receiver's write buffer has
-        changed since the last call. The receiver is the client if a response is being forwarded, otherwise
-        the endpoint.
+        A transfer has stalled if it has made no progress for RESPONSE_STALL_TIMEOUT_MS, in the case of a
+        request whose write buffer is full for UPLOAD_STALL_TIMEOUT_MS, and in the case of an endpoint that
+        sends its response after the client's time for OVERDUE_RESPONSE_STALL_TIMEOUT_MS. There is progress
+        when bytes arrive, when reading or writing is paused or resumed, and when the size of the receiver's
+        write buffer has changed since the last call. The receiver is the client if a response is being
+        forwarded, otherwise the endpoint.
         """
         sink = None if self._exchange is None else self._exchange.sink
         receiver = self.transport if sink is None else sink.transport
@@ -261,7 +287,9 @@
         stalled_ms = now_ms - self._last_progress_ms
         if sink is None:
             return self.writer.is_blocked and stalled_ms > UPLOAD_STALL_TIMEOUT_MS
-        return stalled_ms > RESPONSE_STALL_TIMEOUT_MS
+        return stalled_ms > (
+            RESPONSE_STALL_TIMEOUT_MS if self._is_response_paused else self._stall_timeout_ms
+        )
 
     def _is_reset_pending(self) -> bool:
         """Return whether the endpoint has reset the connection, after the event loop has reported its end.
--- a/gateway/network/upstream/exchange.py
+++ b/gateway/network/upstream/exchange.py
@@ -61,6 +61,7 @@
     __slots__ = (
         "_body_parts",
         "_body_size",
+        "_has_begun",
         "_head",
         "_memory",
         "_reader",
@@ -89,6 +90,7 @@
         self._source = source
         self._reader = ResponseReader()
         self._head = _NO_HEAD
+        self._has_begun = False  # whether the attempt knows of a response without a stated length
         self._body_parts: list[bytes] = []
         self._body_size = 0
         self._memory = Reservation(memory or MemoryBudget())  # for the buffered body
@@ -101,6 +103,17 @@
                 break
         if self.sink is not None and self._body_parts:
             self._forward_parts(self.sink)
+        elif self.state is _RECEIVING and not self._has_begun and self._is_unsized_success():
+            self._has_begun = True
+            self.attempt.on_response_begun()
+        return self.state
+
+    def forward(self) -> ExchangeState:
+        """Forward the response that has been buffered so far, and return the resulting state."""
+        if self.state is _RECEIVING and self.sink is None:
+            self._start_forwarding()
+            if self.sink is not None and self._body_parts:
+                self._forward_parts(self.sink)
         return self.state
 
     @property
@@ -166,6 +179,10 @@
         elif len(self._body_parts) > MAX_BUFFERED_PARTS:
             self._body_parts = [b"".join(self._body_parts)]
 
+    def _is_unsized_success(self) -> bool:
+        """Return whether the head of a successful response has arrived that states no length."""
+        return self._head.status == STATUS_OK and self._head.length is None
+
     def _may_buffer(self) -> bool:
         """Return whether the response may be buffered; if it may, its memory is reserved.
 
--- a/gateway/network/upstream/pool.py
+++ b/gateway/network/upstream/pool.py
@@ -22,6 +22,7 @@
 # The gateway closes it before the endpoint does: a request sent while the endpoint closes it would be lost.
 IDLE_TIMEOUT_FRACTION = 0.6
 SWEEP_INTERVAL_MS = 1000.0  # milliseconds between two checks for stalled and idle connections
+OVERDUE_CHECK_INTERVAL_MS = 50.0  # milliseconds between two checks of a response after its client's time
 
 log = logging.getLogger(__name__)
 
@@ -187,10 +188,24 @@
         """Start stall detection for a connection that forwards a request body or a response."""
         self._streaming.add(connection)
 
+    def on_response_overdue(self, connection: UpstreamConnection) -> None:
+        """Check in short intervals whether a response stalls whose client's time is over."""
+        self._timers.call_at(
+            self.clock.now() + OVERDUE_CHECK_INTERVAL_MS, lambda: self._check_overdue(connection)
+        )
+
     def on_streaming_ended(self, connection: UpstreamConnection) -> None:
         """Stop stall detection for a connection; has no effect if it was not started."""
         self._streaming.discard(connection)
 
+    def _check_overdue(self, connection: UpstreamConnection) -> None:
+        if connection not in self._streaming:
+            return
+        if connection.is_stalled(self.clock.now()):
+            connection.abort_attempt()
+        else:
+            self.on_response_overdue(connection)
+
     def _sweep(self) -> None:
         """Abort stalled attempts, and close idle connections before the endpoints' idle timeout."""
         now_ms = self.clock.now()
--- a/gateway/policy/controller.py
+++ b/gateway/policy/controller.py
@@ -18,7 +18,12 @@
 WAKE_UP_TIMER_NAME = "agenda"  # name in all SetTimer actions; recordings of simulated days contain it
 
 _RequestEvent = (
-    events.ResponseStarted | events.BodyReleased | events.RequestCompleted | events.ClientDisconnected
+    events.DeadlineUpdated
+    | events.ResponseBegun
+    | events.ResponseStarted
+    | events.BodyReleased
+    | events.RequestCompleted
+    | events.ClientDisconnected
 )
 
 
@@ -107,6 +112,8 @@
                 events.ResponseStarted()
                 | events.BodyReleased()
                 | events.RequestCompleted()
+                | events.DeadlineUpdated()
+                | events.ResponseBegun()
                 | events.ClientDisconnected()
             ):
                 if event.id in self.flow.open_requests:
@@ -122,6 +129,10 @@
                 request.body_released = True
             case events.RequestCompleted():
                 self.flow.on_request_completed(request, event)
+            case events.DeadlineUpdated():
+                self.flow.on_deadline_updated(request, event)
+            case events.ResponseBegun():
+                request.begun_attempts.add(event.attempt)
             case events.ClientDisconnected():
                 self.flow.close_request(request)
 
--- a/gateway/policy/requests/attempts.py
+++ b/gateway/policy/requests/attempts.py
@@ -80,11 +80,7 @@
         was stalled. A hedge is sent if the settings permit hedges, the concurrency limit leaves capacity, and
         exactly one attempt is in flight.
         """
-        if not self._turn.follows_stall:
-            for endpoint in request.in_flight_endpoints.values():
-                self.selector.outliers.record_outcome(
-                    endpoint, request.request_class.name, math.inf, OVERDUE_OUTCOME_WEIGHT
-                )
+        self.record_overdue(request)
         has_capacity = self.limiter.in_flight.mean < MAX_HEDGE_UTILIZATION * self.limiter.limit
         if self._settings.may_hedge and has_capacity and len(request.in_flight_endpoints) == 1:
             self.start_additional_attempt(request)
@@ -156,6 +152,18 @@
                 if attempt_number != excluded_attempt:
                     self._add_action(CancelAttempt(request.id, attempt_number))
 
+    def record_overdue(self, request: RequestRecord) -> None:
+        """Record a failure of each endpoint with an attempt of the request in flight.
+
+        Nothing is recorded if this process was stalled.
+        """
+        if self._turn.follows_stall:
+            return
+        for endpoint in request.in_flight_endpoints.values():
+            self.selector.outliers.record_outcome(
+                endpoint, request.request_class.name, math.inf, OVERDUE_OUTCOME_WEIGHT
+            )
+
     def _eligible_endpoints(self, request: RequestRecord) -> EligibleEndpoints:
         """Return the endpoints to which a further attempt may be sent, or None if all are permitted.
 
--- a/gateway/policy/requests/request_flow.py
+++ b/gateway/policy/requests/request_flow.py
@@ -4,9 +4,10 @@
 from dataclasses import replace
 
 from gateway.gossip.codec import EntryKind
-from gateway.interface.actions import Fail, Reject
+from gateway.interface.actions import Fail, ForwardResponse, Reject
 from gateway.interface.events import (
     AttemptEnded,
+    DeadlineUpdated,
     RequestArrived,
     RequestCompleted,
     ResponseStarted,
@@ -21,7 +22,7 @@
 from gateway.policy.requests.attempt_table import AttemptKey
 from gateway.policy.requests.attempts import AttemptManager
 from gateway.policy.requests.request_record import RequestPhase, RequestRecord
-from gateway.policy.timers import TimerKind
+from gateway.policy.timers import CLOCK_RESOLUTION_MS, TimerKind
 
 MAX_QUEUED_FRACTION = 0.45  # maximum time in the queue, as a fraction of the time from arrival to deadline
 MIN_RETRY_AFTER_MS = 250.0  # minimum Retry-After of a rejection, unless the settings limit it to less
@@ -75,6 +76,13 @@
                 self.attempts.set_executing(AttemptKey(request.id, attempt_number), True)
             self.attempts.schedule_hedge_timer(request)
 
+    def on_deadline_updated(self, request: RequestRecord, event: DeadlineUpdated) -> None:
+        """Start or stop the deadline of an incomplete request, see `DeadlineUpdated`."""
+        request.is_held_up = event.deadline_at_ms < math.inf
+        if request.is_held_up:
+            request.arrival = replace(request.arrival, deadline_at_ms=event.deadline_at_ms)
+            self._schedule_deadline(request)
+
     def on_response_started(self, request: RequestRecord, event: ResponseStarted) -> None:
         """Handle the start of a streaming response, and cancel the request's other attempts."""
         request.phase = RequestPhase.STREAMING
@@ -127,14 +135,14 @@
                     self.dispatcher.enqueue(request)
             case TimerKind.LEASE_EXPIRED:
                 self.on_lease_reply(request, EntryKind.DENY)
+            case TimerKind.DEADLINE:
+                self._on_deadline_timer(request)
             case _ if request.attempts_sent and not request.is_complete:
-                pass  # the latency objective and the deadline count from the last byte of the request
+                pass  # the latency objective counts from the last byte of the request
             case TimerKind.HEDGE:
                 self.attempts.on_attempt_overdue(request)
             case TimerKind.QUEUE_TIMEOUT:
                 self._on_queue_timeout(request)
-            case TimerKind.DEADLINE:
-                self.reject_or_fail(request)
 
     def reject_or_fail(self, request: RequestRecord) -> None:
         """Give the final answer to a request that is not served, and close it.
@@ -143,15 +151,24 @@
         request that is not idempotent and may have been executed, a retry is harmless only if all endpoints
         still know the idempotency key when the client retries.
         """
-        refill_ms = request.arrival.units * 1000 / (request.plan.rate_per_s or math.inf)
-        retry_after_ms = min(max(MIN_RETRY_AFTER_MS, refill_ms), self._settings.max_retry_after_ms)
-        resend_deadline_at_ms = self.attempts.resend_deadline_at_ms(request)
-        is_harmless = resend_deadline_at_ms == math.inf
-        if request.request_class.key_scope is KeyScope.ALL:
-            is_harmless = is_harmless or self._turn.now_ms + retry_after_ms < resend_deadline_at_ms
+        retry_after_ms = self._retry_after_ms(request)
+        is_harmless = self._is_retry_harmless(request)
         self._add_action(Reject(request.id, retry_after_ms) if is_harmless else Fail(request.id))
         self.close_request(request)
 
+    def _retry_after_ms(self, request: RequestRecord) -> float:
+        """Return the time after which the client of a rejected request is advised to retry."""
+        refill_ms = request.arrival.units * 1000 / (request.plan.rate_per_s or math.inf)
+        return min(max(MIN_RETRY_AFTER_MS, refill_ms), self._settings.max_retry_after_ms)
+
+    def _is_retry_harmless(self, request: RequestRecord) -> bool:
+        """Return whether a retry by the client has no effect beyond that of a single execution."""
+        resend_deadline_at_ms = self.attempts.resend_deadline_at_ms(request)
+        if resend_deadline_at_ms == math.inf:
+            return True
+        retry_at_ms = self._turn.now_ms + self._retry_after_ms(request)
+        return request.request_class.key_scope is KeyScope.ALL and retry_at_ms < resend_deadline_at_ms
+
     def close_request(self, request: RequestRecord) -> None:
         """Remove a request that needs no further answer, and cancel its attempts in flight."""
         self.open_requests.pop(request.id, None)
@@ -174,9 +191,33 @@
         elif request.attempts_sent == 0:
             self.reject_or_fail(request)
 
+    def _on_deadline_timer(self, request: RequestRecord) -> None:
+        """Give the final answer if the deadline of a request is close, unless it has been moved.
+
+        A response that is being buffered is forwarded instead: its endpoint is still sending it.
+        """
+        is_sending = request.attempts_sent and not request.is_complete and not request.is_held_up
+        if is_sending or self._turn.now_ms < self._answer_by_ms(request) - CLOCK_RESOLUTION_MS:
+            return
+        begun = [number for number in request.in_flight_endpoints if number in request.begun_attempts]
+        if begun:
+            self._add_action(ForwardResponse(request.id, begun[0]))
+            return
+        if not request.is_complete:
+            self.attempts.record_overdue(request)
+        needs_results = request.body_released and not self._is_retry_harmless(request)
+        if needs_results and request.in_flight_endpoints and self._settings.may_cancel:
+            # The results tell whether an endpoint may have executed the request; the answer follows them.
+            self.attempts.cancel_in_flight(request)
+        else:
+            self.reject_or_fail(request)
+
+    def _answer_by_ms(self, request: RequestRecord) -> float:
+        """Return the time at which a request gets its final answer if it has not been served."""
+        return request.arrival.deadline_at_ms - DEADLINE_MARGIN_TICKS * self._settings.tick_ms
+
     def _schedule_deadline(self, request: RequestRecord) -> None:
-        at_ms = request.arrival.deadline_at_ms - DEADLINE_MARGIN_TICKS * self._settings.tick_ms
-        self._schedule(at_ms, TimerKind.DEADLINE, request.id)
+        self._schedule(self._answer_by_ms(request), TimerKind.DEADLINE, request.id)
 
     def _queue_timeout_at_ms(self, request: RequestRecord) -> float:
         """Return the time until which a request may be queued.
--- a/gateway/policy/requests/request_record.py
+++ b/gateway/policy/requests/request_record.py
@@ -34,11 +34,13 @@
     priority: float  # requests with greater values are dispatched earlier
     phase: RequestPhase = RequestPhase.AWAITING_QUOTA
     is_complete: bool = True  # the last byte of the request has been received from the client
+    is_held_up: bool = False  # the deadline runs although the request is incomplete
     body_released: bool = False  # the start of the body has been discarded, so no further attempt is possible
     # Attempts.
     attempts_sent: int = 0  # also the number of the next attempt
     in_flight_endpoints: dict[int, EndpointRecord] = field(default_factory=dict)  # by attempt number
     tried_endpoints: list[EndpointRecord] = field(default_factory=list)  # by attempt number, ended or not
+    begun_attempts: set[int] = field(default_factory=set)  # attempts whose response is being buffered
     possible_executions: int = 0  # attempts, except those proved not to have been executed by their endpoint
     key_endpoint: Endpoint | None = None  # list entry of the first endpoint that may know the idempotency key
     key_sent_at_ms: float = 0.0  # when the idempotency key was sent to `key_endpoint`
--- a/gateway/simulator/translation.py
+++ b/gateway/simulator/translation.py
@@ -65,6 +65,8 @@
             return f"FINISH_ERROR\t{request_id}"
         case actions.CancelAttempt(request_id, attempt):
             return f"DROP_ATTEMPT\t{request_id}\t{attempt}"
+        case actions.ForwardResponse():
+            raise ValueError("the simulator reports no response that is being buffered")
         case actions.SetTimer(after_ms, name):
             return f"SET_ALARM\t{after_ms:.3f}\t{name}"
         case actions.SendGossip(receiver, data):
--- a/tests/network/test_request_table.py
+++ b/tests/network/test_request_table.py
@@ -115,7 +115,7 @@
 def add_guarded_request(harness):
     """Add a request, start its guard timer and return it."""
     request = harness.add_request()
-    harness.table.start_guard_timer(request, harness.table.deadline_at_ms(request))
+    harness.table.start_guard_timer(request, harness.table.deadline_at_ms(request, harness.timers.now()))
     return request
 
 
@@ -164,11 +164,11 @@
 def test_deadline_during_shutdown_is_at_most_the_end_of_the_shutdown(harness):
     request = harness.add_request(wait_ms=500.0)
     now_ms = harness.timers.now()
-    assert harness.table.deadline_at_ms(request) == now_ms + 500.0
+    assert harness.table.deadline_at_ms(request, now_ms) == now_ms + 500.0
     harness.table.begin_shutdown(now_ms + 100.0)
-    assert harness.table.deadline_at_ms(request) == now_ms + 100.0
+    assert harness.table.deadline_at_ms(request, now_ms) == now_ms + 100.0
     harness.table.begin_shutdown(now_ms)
-    assert harness.table.deadline_at_ms(request) == now_ms + 2 * DEADLINE_MARGIN_MS
+    assert harness.table.deadline_at_ms(request, now_ms) == now_ms + 2 * DEADLINE_MARGIN_MS
 
 
 def test_disconnected_client_gets_no_response_and_its_streaming_attempt_is_cancelled(harness):
--- a/tests/network/upstream/test_exchange.py
+++ b/tests/network/upstream/test_exchange.py
@@ -33,6 +33,10 @@
     def __init__(self, sink):
         self.sink = sink
         self.started = []
+        self.begun_responses = 0
+
+    def on_response_begun(self):
+        self.begun_responses += 1
 
     def start_forwarding(self, _source, length, content_type):
         self.started.append((length, content_type))
