Have the successor decide which request ids are unused while both processes run

Callers saw a request that is not idempotent executed twice when its id came first to one process and then to the other during a hot restart. Cause: the ids were transferred once, with the state, so neither process knew of the ids that the other received afterwards. Class: a copy of a set is decided upon in two places. Now one process owns the set: the successor; the predecessor asks it before it opens a request. The successor keeps the predecessor's ids until the predecessor has ended, and not only for the time of a recent request. An earlier version ignores the new packets; a claim is then granted after 0.2 s, as before without a check.

--- a/gateway/network/admin/metrics.py
+++ b/gateway/network/admin/metrics.py
@@ -34,6 +34,7 @@
     GUARD_EXPIRED = "guard_expired"  # the policy gave no final answer before the deadline
     RESPONSE_CUT_OFF = "response_cut_off"  # its response could not be forwarded to its end
     CLIENT_LEFT = "client_left"
+    DUPLICATE_ID = "duplicate_id"  # the successor of this process knows its id
     NO_MEMORY = "no_memory"  # rejected before it was opened
 
 
--- a/gateway/network/client_frontend.py
+++ b/gateway/network/client_frontend.py
@@ -153,6 +153,28 @@
         if is_complete:
             self._requests.start_guard_timer(request, deadline_at_ms)
             self.connections.on_request_complete(client)
+        successor = self._role.successor
+        if successor is None:
+            self._report_arrival(request, validated, deadline_at_ms)
+        else:
+            successor.claim_id(
+                request.request_id,
+                lambda is_granted: self._on_id_claimed(request, validated, deadline_at_ms, is_granted),
+            )
+        return request
+
+    def _on_id_claimed(
+        self, request: OpenRequest, validated: ValidatedRequest, deadline_at_ms: float, is_granted: bool
+    ) -> None:
+        """Report the arrival of a request, or answer 409 if the successor knows its id already."""
+        if not is_granted:
+            self._requests.reject_duplicate(request)
+        elif request.id in self._requests.open_requests:
+            self._report_arrival(request, validated, deadline_at_ms)
+
+    def _report_arrival(
+        self, request: OpenRequest, validated: ValidatedRequest, deadline_at_ms: float
+    ) -> None:
         self._events.enqueue(
             RequestArrived(
                 request.id,
@@ -164,10 +186,9 @@
                 validated.first_gateway,
                 validated.spread,
                 validated.is_client_retry,
-                is_complete,
+                request.upload is None or request.upload.is_complete,
             )
         )
-        return request
 
     def _reject_overload(
         self, client: HandledConnection, validated: ValidatedRequest, *, is_complete: bool
--- a/gateway/network/gateway.py
+++ b/gateway/network/gateway.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from dataclasses import replace
 
 from gateway.config import Config, EndpointList
@@ -239,9 +240,21 @@
         self._limit_descriptors(descriptors)
         self._limit_memory(processes=2)
 
+    def claim_id(self, request_id: bytes, on_result: Callable[[bool], None]) -> None:
+        """Decide whether the predecessor may open a request with this id, and pass the result on.
+
+        If this process has a successor itself, the successor decides.
+        """
+        successor = self.role.successor
+        if successor is None:
+            on_result(self.requests.ids.try_claim(request_id))
+        else:
+            successor.claim_id(request_id, on_result)
+
     def on_predecessor_ended(self) -> None:
         """Use all descriptors of the configured limit, because the predecessor has released its own."""
         self.role.on_predecessor_ended()
+        self.requests.ids.on_predecessor_ended()
         hot_restart.on_predecessor_ended(self.controller_loop.controller)
         self._limit_descriptors(self.config.max_descriptors)
         self._limit_memory(processes=1)
--- a/gateway/network/hot_restart/packet_link.py
+++ b/gateway/network/hot_restart/packet_link.py
@@ -3,6 +3,10 @@
 The first byte of a packet is its type; file descriptors may be attached. The successor sends TAKE_OVER. The
 predecessor replies with its state in chunks (STATE), then with the listening sockets (SOCKETS), and then with
 each client connection that is idle (CONNECTION). Both processes forward gossip datagrams (GOSSIP).
+
+The successor decides which ids of requests are unused. It announces this (CLAIMS_SUPPORTED), and from then on
+the predecessor asks it about each further request that it receives (CLAIM, CLAIM_REPLY). A process of an
+earlier version ignores these packets.
 """
 
 from __future__ import annotations
@@ -30,6 +34,12 @@
 # Header of a GOSSIP payload: the number of the gateway that sent the datagram, unsigned 16-bit little-endian.
 _SENDER_NUMBER = struct.Struct("<H")
 
+# Header of a CLAIM payload, before the id: the number of the claim, unsigned 32-bit little-endian.
+_CLAIM_NUMBER = struct.Struct("<I")
+
+# A CLAIM_REPLY payload: the number of the claim, and whether the id was unused.
+_CLAIM_REPLY = struct.Struct("<I?")
+
 
 class PacketType(Enum):
     """The type of a packet; the value is the first byte of the packet."""
@@ -39,6 +49,9 @@
     SOCKETS = b"G"
     CONNECTION = b"C"
     GOSSIP = b"H"
+    CLAIMS_SUPPORTED = b"I"
+    CLAIM = b"Q"
+    CLAIM_REPLY = b"R"
 
 
 _TYPES_BY_BYTE = {packet_type.value: packet_type for packet_type in PacketType}
@@ -85,6 +98,28 @@
     return sender, packet.payload[_SENDER_NUMBER.size :]
 
 
+def encode_claim(number: int, request_id: bytes) -> Packet:
+    """Return a CLAIM packet with the number of the claim and the id of a request."""
+    return Packet(PacketType.CLAIM, _CLAIM_NUMBER.pack(number) + request_id)
+
+
+def decode_claim(packet: Packet) -> tuple[int, bytes]:
+    """Return the number of the claim and the id in a CLAIM packet; raises struct.error if it is too short."""
+    (number,) = _CLAIM_NUMBER.unpack(packet.payload[: _CLAIM_NUMBER.size])
+    return number, packet.payload[_CLAIM_NUMBER.size :]
+
+
+def encode_claim_reply(number: int, *, is_granted: bool) -> Packet:
+    """Return a CLAIM_REPLY packet for the claim with this number."""
+    return Packet(PacketType.CLAIM_REPLY, _CLAIM_REPLY.pack(number, is_granted))
+
+
+def decode_claim_reply(packet: Packet) -> tuple[int, bool]:
+    """Return the number of the claim and whether it is granted; raises struct.error for another length."""
+    number, is_granted = _CLAIM_REPLY.unpack(packet.payload)
+    return number, is_granted
+
+
 class PacketListener(Protocol):
     """The receiver of a link's packets and of its end."""
 
--- a/gateway/network/hot_restart/predecessor.py
+++ b/gateway/network/hot_restart/predecessor.py
@@ -5,19 +5,31 @@
 import logging
 import os
 import socket
+from collections.abc import Callable
 
-from gateway.network.clients.connection_limiter import ConnectionLimiter, LimitedConnection
+from gateway.network.clients.connection_limiter import LimitedConnection
 from gateway.network.gateway import Gateway
 from gateway.network.hot_restart.background_tasks import BackgroundTasks
 from gateway.network.hot_restart.client_listener import ClientListener
 from gateway.network.hot_restart.handover_state import HandoverState
-from gateway.network.hot_restart.packet_link import Packet, PacketLink, PacketType, decode_gossip
+from gateway.network.hot_restart.packet_link import (
+    Packet,
+    PacketLink,
+    PacketType,
+    decode_claim_reply,
+    decode_gossip,
+    encode_claim,
+)
 from gateway.network.hot_restart.socket_file import SocketFile
 
 # Maximum number of bytes of the encoded state in one STATE packet. The packet fits into the buffer into which
 # the successor reads it (MAX_PACKET_BYTES).
 STATE_CHUNK_BYTES = 32 * 1024
 
+# Milliseconds for which a claim may wait for its reply while it is not known whether the successor replies to
+# claims. A successor that does tells so right after its request to take over.
+UNSUPPORTED_CLAIM_TIMEOUT_MS = 200.0
+
 log = logging.getLogger(__name__)
 
 
@@ -38,6 +50,7 @@
         self._tasks = tasks
         self._listening_socket: socket.socket | None = None
         self._successor: PacketLink | None = None
+        self._claims: Successor | None = None  # None until a successor has taken over
 
     async def start_serving(self) -> None:
         """Start accepting clients and a successor; raises OSError if the socket for clients cannot listen.
@@ -85,13 +98,22 @@
             link.close()
         elif packet.type is PacketType.GOSSIP and link is self._successor:
             self._gateway.on_sibling_gossip(*decode_gossip(packet))
+        elif packet.type is PacketType.CLAIMS_SUPPORTED and self._claims is not None:
+            self._claims.replies_to_claims = True
+        elif packet.type is PacketType.CLAIM_REPLY and self._claims is not None:
+            self._claims.on_reply(*decode_claim_reply(packet))
 
     def on_link_closed(self, link: PacketLink) -> None:
         """Resume service if the successor has ended, unless this process is shutting down."""
         if link is not self._successor:
             return
         self._successor = None
-        if self._gateway.on_successor_ended():
+        claims = self._claims
+        self._claims = None
+        is_serving_again = self._gateway.on_successor_ended()
+        if claims is not None:
+            claims.grant_all()
+        if is_serving_again:
             log.warning(
                 "hot restart: successor of gateway %s ended, resuming service", self._gateway.config.name
             )
@@ -109,7 +131,8 @@
     def _hand_over(self, link: PacketLink) -> None:
         gateway = self._gateway
         self._successor = link
-        controller_state = gateway.retire(Successor(link, gateway.connections))
+        self._claims = Successor(link, gateway)
+        controller_state = gateway.retire(self._claims)
         self.stop_listening()
         self._listener.stop_accepting()
         state = HandoverState(
@@ -137,10 +160,42 @@
 class Successor:
     """The link to the successor of this process; implements `SuccessorLink`."""
 
-    def __init__(self, link: PacketLink, connections: ConnectionLimiter) -> None:
-        """Send packets on `link`, and remove connections that are handed over from `connections`."""
+    def __init__(self, link: PacketLink, gateway: Gateway) -> None:
+        """Send packets of `gateway` on `link`; its connections are removed when they are handed over."""
+        self.replies_to_claims = False  # whether the successor has announced that it does
         self._link = link
-        self._connections = connections
+        self._gateway = gateway
+        self._last_claim = 0
+        self._pending_claims: dict[int, Callable[[bool], None]] = {}
+
+    def claim_id(self, request_id: bytes, on_result: Callable[[bool], None]) -> None:
+        """Ask the successor whether the id of a request is unused; the result is passed to `on_result`.
+
+        A successor of an earlier version does not reply: the claim is then granted after a timeout. The
+        successor's end grants it as well.
+        """
+        self._last_claim += 1
+        number = self._last_claim
+        self._pending_claims[number] = on_result
+        self._link.send(encode_claim(number, request_id))
+        if not self.replies_to_claims:
+            at_ms = self._gateway.clock.now() + UNSUPPORTED_CLAIM_TIMEOUT_MS
+            self._gateway.timers.call_at(at_ms, lambda: self._on_claim_timeout(number))
+
+    def on_reply(self, number: int, is_granted: bool) -> None:
+        """Pass on the successor's reply to a claim; has no effect if the claim has been decided already."""
+        on_result = self._pending_claims.pop(number, None)
+        if on_result is not None:
+            on_result(is_granted)
+
+    def grant_all(self) -> None:
+        """Grant the claims without a reply, because the successor has ended."""
+        for number in list(self._pending_claims):
+            self.on_reply(number, is_granted=True)
+
+    def _on_claim_timeout(self, number: int) -> None:
+        if not self.replies_to_claims:
+            self.on_reply(number, is_granted=True)
 
     def send_gossip(self, sender: int, data: bytes) -> None:
         """Forward a datagram from the gateway with number `sender`, unless the send queue is full."""
@@ -159,7 +214,7 @@
         descriptor = os.dup(transport.get_extra_info("socket").fileno())
         self._link.send(Packet(PacketType.CONNECTION, descriptors=[descriptor]))
         client.abort()
-        self._connections.remove(client)
+        self._gateway.connections.remove(client)
 
 
 def _send_state(link: PacketLink, data: bytes) -> None:
--- a/gateway/network/hot_restart/successor.py
+++ b/gateway/network/hot_restart/successor.py
@@ -10,7 +10,14 @@
 from gateway.network.hot_restart import handover_state
 from gateway.network.hot_restart.background_tasks import BackgroundTasks
 from gateway.network.hot_restart.client_listener import ClientListener
-from gateway.network.hot_restart.packet_link import Packet, PacketLink, PacketType, decode_gossip
+from gateway.network.hot_restart.packet_link import (
+    Packet,
+    PacketLink,
+    PacketType,
+    decode_claim,
+    decode_gossip,
+    encode_claim_reply,
+)
 from gateway.network.hot_restart.socket_file import SocketFile
 
 # Minimum number of file descriptors that a successor may use while its predecessor runs. Otherwise the
@@ -73,6 +80,7 @@
             raise ConnectionError("no predecessor is connected")
         self._takeover = self._gateway.loop.create_future()
         self._predecessor.send(Packet(PacketType.TAKE_OVER))
+        self._predecessor.send(Packet(PacketType.CLAIMS_SUPPORTED))
         await self._takeover
 
     def close(self) -> None:
@@ -97,8 +105,17 @@
                 self._tasks.start(self._listener.adopt_connection(sock))
             case PacketType.GOSSIP:
                 self._gateway.on_sibling_gossip(*decode_gossip(packet))
+            case PacketType.CLAIM:
+                self._reply_to_claim(link, packet)
         packet.close_descriptors()
 
+    def _reply_to_claim(self, link: PacketLink, packet: Packet) -> None:
+        number, request_id = decode_claim(packet)
+        self._gateway.claim_id(
+            request_id,
+            lambda is_granted: link.send(encode_claim_reply(number, is_granted=is_granted)),
+        )
+
     def on_link_closed(self, link: PacketLink) -> None:
         """Handle the end of the link to the predecessor.
 
--- a/gateway/network/process_role.py
+++ b/gateway/network/process_role.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Protocol
@@ -28,6 +29,9 @@
 class SuccessorLink(SiblingLink, Protocol):
     """The link to the process that has taken over the service from this one."""
 
+    def claim_id(self, request_id: bytes, on_result: Callable[[bool], None]) -> None:
+        """Ask the successor whether the id of a request is unused; the result is passed to `on_result`."""
+
     def hand_over(self, client: LimitedConnection) -> None:
         """Send a client's idle connection to the successor; this process must not use it any more."""
 
--- a/gateway/network/request_table.py
+++ b/gateway/network/request_table.py
@@ -162,6 +162,15 @@
                 reason=EndReason.REJECTED,
             )
 
+    def reject_duplicate(self, request: OpenRequest) -> None:
+        """Respond with 409 to a request whose id another process of this gateway knows, if it is open.
+
+        Like other bad requests, it is not counted as an operation.
+        """
+        if self._close_request(request):
+            self.log.on_request_ended(request, EndReason.DUPLICATE_ID, HTTPStatus.CONFLICT)
+            request.client.send_response(HTTPStatus.CONFLICT)
+
     def count_rejection(self, class_name: str) -> None:
         """Count a request that was rejected before it was opened, because of a lack of memory."""
         self._metrics.on_final_response(class_name, FinalStatus.THROTTLED)
