--- a/gateway/network/clients/connection.py
+++ b/gateway/network/clients/connection.py
@@ -533,6 +533,13 @@
         else:
             self.close_if_idle()
 
+    def reject_request(self) -> None:
+        """Answer the request that is being received with 503, and close the connection.
+
+        If its response has been sent or is being forwarded already, the connection is aborted instead.
+        """
+        self._abort_request(HTTPStatus.SERVICE_UNAVAILABLE)
+
     def _finish_and_linger(self, data: bytes) -> None:
         """Write the last bytes and shut down the sending side, but continue to read and discard input.
 
--- a/gateway/network/clients/connection_limiter.py
+++ b/gateway/network/clients/connection_limiter.py
@@ -38,10 +38,13 @@
 IDLE_FRACTION = 0.02
 
 # Number of client connections above which the process counts as overloaded, as a fraction of the descriptors.
-# Connections in excess that are idle, or that await a request of which no byte has been received, then close
-# after OVERLOAD_IDLE_MS.
+# Idle connections in excess then close after OVERLOAD_IDLE_MS.
 OVERLOAD_FRACTION = 0.26
 
+# Number of client connections up to which a new connection may wait for its first byte as long as for its
+# head, as a fraction of the descriptors. Clients that send requests hold at most a third of them.
+NEW_CONNECTIONS_FRACTION = 0.34
+
 # Milliseconds that a client has to send the head of a request, from the start of a new connection or from the
 # first byte of a later request. From the end of the head, the body has the same time, plus the time that its
 # received bytes need at MIN_BODY_BYTES_PER_MS.
@@ -117,6 +120,9 @@
         is aborted. Without a request being received, the connection closes unless it has unread input.
         """
 
+    def reject_request(self) -> None:
+        """Answer the request that is being received with 503, and close the connection."""
+
     def release_unused_memory(self) -> None:
         """Return the memory of the last response, once all of it has been written to the socket."""
 
@@ -158,6 +164,7 @@
         self.max_admitted = int(descriptors * ADMITTED_FRACTION)
         self.max_idle = int(descriptors * IDLE_FRACTION)
         self.overload_threshold = int(descriptors * OVERLOAD_FRACTION)
+        self.new_connections_threshold = int(descriptors * NEW_CONNECTIONS_FRACTION)
 
     def add_transferred(self, client: LimitedConnection, now_ms: float) -> None:
         """Add an idle connection that the predecessor has handed over.
@@ -169,6 +176,7 @@
         self.max_admitted += 1
         self.max_idle += 1
         self.overload_threshold += 1
+        self.new_connections_threshold += 1
         self.open_connections.add(client)
         self._idle[client] = now_ms
 
@@ -214,19 +222,25 @@
     def evict_excess(self) -> None:
         """Abort connections until their number no longer exceeds `eviction_threshold`.
 
-        The order is: closing connections, then connections that await a request, then idle ones; within each
-        table, the connections that entered it first. A connection whose large body is still being received
-        awaits a request, and can be aborted although its request is open. Connections whose open request is
-        complete stay, and so do those with unread input unless they are closing.
+        The order is: closing connections, connections that await the first byte of a request, idle ones, and
+        connections on which a request is being received; within each group, the connections that entered it
+        first. The latter are not aborted: their request is rejected, and they close once their client has
+        read the response, or at the next eviction. Connections whose open request is complete stay, and so do
+        those with unread input unless they are closing.
         """
-        for table in (self._closing, self._awaiting_request, self._idle):
-            for client in list(table):
-                if len(self.open_connections) <= self.eviction_threshold:
-                    return
-                if table is self._closing or not client.has_unread_input():
-                    self._record(client, CloseReason.EVICTED)
-                    self.remove(client)
-                    client.abort()
+        unused = [client for client in self._awaiting_request if not client.is_receiving]
+        for client in [*self._closing, *unused, *self._idle]:
+            if len(self.open_connections) <= self.eviction_threshold:
+                return
+            if client in self._closing or not client.has_unread_input():
+                self._record(client, CloseReason.EVICTED)
+                self.remove(client)
+                client.abort()
+        excess = len(self.open_connections) - self.eviction_threshold
+        receiving = [client for client in self._awaiting_request if client.is_receiving]
+        for client in receiving[: max(0, excess)]:
+            self._record(client, CloseReason.EVICTED)
+            client.reject_request()
 
     def sweep(self, now_ms: float, is_draining: bool) -> None:
         """Close each connection that has exceeded a time limit, and release the memory of idle ones.
@@ -260,13 +274,16 @@
 
         A connection is unused if it is idle, or if it awaits a request of which no byte has been received.
         """
-        excess = len(self.open_connections) - len(self._closing) - self.overload_threshold
-        if excess <= 0:
-            return
+        count = len(self.open_connections) - len(self._closing)
         awaiting = _in_table_longer_than(self._awaiting_request, now_ms, OVERLOAD_IDLE_MS)
-        unused = [client for client in awaiting if not client.is_receiving]
-        unused += _in_table_longer_than(self._idle, now_ms, OVERLOAD_IDLE_MS)
-        for client in unused[:excess]:
+        new = [client for client in awaiting if not client.is_receiving]
+        self._close_unused(new, count - self.new_connections_threshold)
+        idle = _in_table_longer_than(self._idle, now_ms, OVERLOAD_IDLE_MS)
+        self._close_unused(idle, count - self.overload_threshold)
+
+    def _close_unused(self, clients: list[LimitedConnection], excess: int) -> None:
+        """Close the first of these connections, as many as there are in excess."""
+        for client in clients[: max(0, excess)]:
             self._record(client, CloseReason.UNUSED_UNDER_OVERLOAD)
             client.close_if_idle()
 
