Bound the state of names, and compute all limits from the resident memory

Callers saw a process grow to 62 MB of 32 while requests of ever new customers arrived, and stay there; and a resident memory over the limit in a crowd whose anonymous memory was within it. Causes: accounts, buckets, request ids and timers of ended requests were kept by the rate of names and by time alone, and the budget was computed from private pages. Class: state that outlives the request that reserved its memory. Now customers and request ids have limits from the memory limit (503 with Retry-After beyond, accounts with little demand dropped first), cancelled timers are removed once they are most of all, and pages shared with files count as well.

--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -10,12 +10,16 @@
 import signal
 import sys
 
-import uvloop
+from gateway.plain_tcp import use_placeholder_for_ssl
 
-from gateway.config import load_config
-from gateway.errors import ConfigError
-from gateway.log_handler import NonBlockingHandler
-from gateway.process import serve
+use_placeholder_for_ssl()
+
+import uvloop  # noqa: E402
+
+from gateway.config import load_config  # noqa: E402
+from gateway.errors import ConfigError  # noqa: E402
+from gateway.log_handler import NonBlockingHandler  # noqa: E402
+from gateway.process import serve  # noqa: E402
 
 EXIT_OK = 0
 EXIT_ADDRESS_ERROR = 1
--- a/gateway/network/client_frontend.py
+++ b/gateway/network/client_frontend.py
@@ -18,10 +18,7 @@
 from gateway.network.controller_loop import EventSink
 from gateway.network.memory_budget import MemoryBudget
 from gateway.network.process_role import ProcessRole, ServicePhase
-from gateway.network.request_table import DEADLINE_MARGIN_MS, RequestTable
-
-# Milliseconds after which a client may retry a request for which the process lacked memory.
-OVERLOAD_RETRY_AFTER_MS = 250.0
+from gateway.network.request_table import DEADLINE_MARGIN_MS, OVERLOAD_RETRY_AFTER_MS, RequestTable
 
 # Milliseconds between a new connection above the eviction threshold and the eviction. In this time the
 # requests on other new connections are read, so that these connections are not evicted as unused.
--- a/gateway/network/clock.py
+++ b/gateway/network/clock.py
@@ -21,25 +21,34 @@
         return self._base_ms + time.monotonic() * 1000
 
 
+# Number of cancelled timers up to which they are not removed before their time.
+MAX_CANCELLED_TIMERS = 256
+
+
 class Timer:
     """A scheduled call that can be cancelled."""
 
-    __slots__ = ("callback",)
+    __slots__ = ("_on_cancelled", "callback")
 
-    def __init__(self, callback: Callable[[], None]) -> None:
-        """Hold the callback until it has been called or the timer is cancelled."""
+    def __init__(self, callback: Callable[[], None], on_cancelled: Callable[[], None] | None = None) -> None:
+        """Hold the callback until it has been called or is cancelled, which `on_cancelled` reports."""
         self.callback: Callable[[], None] | None = callback  # None once called or cancelled
+        self._on_cancelled = on_cancelled
 
     def cancel(self) -> None:
         """Prevent the call; has no effect once it has been made."""
+        if self.callback is None:
+            return
         self.callback = None
+        if self._on_cancelled is not None:
+            self._on_cancelled()
 
 
 class Timers:
     """All timers of the gateway, driven by a single timer of the event loop.
 
     Scheduling and cancelling a timer is cheap, since most timers are cancelled before they expire: a
-    cancelled timer stays in the heap until it reaches the top.
+    cancelled timer stays in the heap until it reaches the top, or until most timers are cancelled.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock) -> None:
@@ -47,6 +56,7 @@
         self._loop = loop
         self._clock = clock
         self._heap: list[tuple[float, int, Timer]] = []
+        self._cancelled_count = 0  # cancelled timers in the heap, at most
         self._scheduled_count = 0  # orders timers of equal times by their scheduling
         self._handle: asyncio.TimerHandle | None = None
         self._armed_at_ms = math.inf  # time for which `_handle` is set; infinite if it is not set
@@ -57,12 +67,24 @@
         A callback that raises does not prevent the calls of other timers.
         """
         self._scheduled_count += 1
-        timer = Timer(callback)
+        timer = Timer(callback, self._on_timer_cancelled)
         heapq.heappush(self._heap, (when_ms, self._scheduled_count, timer))
         if when_ms < self._armed_at_ms:
             self._arm(when_ms)
         return timer
 
+    def __len__(self) -> int:
+        """Return the number of timers in the heap, including cancelled ones."""
+        return len(self._heap)
+
+    def _on_timer_cancelled(self) -> None:
+        """Remove the cancelled timers once there are many and they are most of all timers."""
+        self._cancelled_count += 1
+        if self._cancelled_count > max(MAX_CANCELLED_TIMERS, len(self._heap) // 2):
+            self._heap[:] = [entry for entry in self._heap if entry[2].callback is not None]
+            heapq.heapify(self._heap)
+            self._cancelled_count = 0
+
     def _arm(self, when_ms: float) -> None:
         if self._handle is not None:
             self._handle.cancel()
--- a/gateway/network/gateway.py
+++ b/gateway/network/gateway.py
@@ -35,7 +35,7 @@
 from gateway.network.descriptor_limits import max_upstream_connections, shareable_descriptors
 from gateway.network.gossip_socket import GossipSocket
 from gateway.network.memory_budget import MemoryBudget
-from gateway.network.memory_limits import MIN_PROCESS_BYTES, buffer_capacity, process_bytes
+from gateway.network.memory_limits import ProcessMemory, memory_limits, process_memory
 from gateway.network.process_role import ProcessRole, ServicePhase, SiblingLink, SuccessorLink
 from gateway.network.request_table import RequestTable
 from gateway.network.upstream.pool import UpstreamPool
@@ -61,8 +61,7 @@
             loop, self.clock, controller or Controller(config.settings, config.seed), self
         )
         self.memory = MemoryBudget()
-        self._occupied_bytes = MIN_PROCESS_BYTES
-        self._limit_memory(processes=1)
+        self._occupied = ProcessMemory()
         self.upstreams = self._new_upstream_pool()
         self.gossip_socket = GossipSocket(config, self.on_gossip)
         self.attempts = AttemptTable()
@@ -72,6 +71,7 @@
         self.attempt_runner = AttemptRunner(
             self.clock, self.upstreams, self.requests, self.attempts, self.controller_loop
         )
+        self._limit_memory(processes=1)
         self.connections = ConnectionLimiter(
             shareable_descriptors(config.max_descriptors), recorder=self.requests.log
         )
@@ -279,18 +279,21 @@
 
     def _limit_memory(self, processes: int) -> None:
         """Divide the memory between the processes of this gateway that run at present."""
-        self.memory.capacity_bytes = buffer_capacity(
-            self.config.max_memory_bytes, self.config.max_descriptors, processes, self._occupied_bytes
+        limits = memory_limits(
+            self.config.max_memory_bytes, self.config.max_descriptors, processes, self._occupied
         )
+        self.memory.capacity_bytes = limits.buffered_bytes
+        self.requests.max_ids = limits.request_ids
+        self.controller_loop.controller.limit_customers(limits.customers)
 
     # -- the phases of the service
 
     def start_serving(self) -> None:
         """Enter the phase SERVING, in which the process is ready for clients.
 
-        The memory that the process occupies now is not available for bodies and responses.
+        The memory that the process occupies now is not available for its clients.
         """
-        self._occupied_bytes = process_bytes()
+        self._occupied = process_memory()
         self._limit_memory(processes=1 if self.role.predecessor is None else 2)
         self.role.phase = ServicePhase.SERVING
 
--- a/gateway/network/request_table.py
+++ b/gateway/network/request_table.py
@@ -5,7 +5,7 @@
 import math
 from http import HTTPStatus
 
-from gateway.errors import BadRequestError
+from gateway.errors import BadRequestError, OverloadedError
 from gateway.interface.events import ClientDisconnected
 from gateway.network.admin.metrics import EndReason, FinalStatus, Metrics
 from gateway.network.attempt_table import AttemptTable
@@ -25,6 +25,9 @@
 # if the request is still open at that time, for example because the controller has failed.
 GUARD_MARGIN_MS = 5.0
 
+# Milliseconds after which a client may retry a request for which the process lacked memory.
+OVERLOAD_RETRY_AFTER_MS = 250.0
+
 # Milliseconds between rotations of the recently used request ids. The id of an ended request is rejected for
 # one to two intervals.
 ID_ROTATION_INTERVAL_MS = 2000.0
@@ -48,6 +51,7 @@
         """Create an empty table and start the rotation of request ids."""
         self.open_requests: dict[int, OpenRequest] = {}
         self.ids = RecentIds()
+        self.max_ids: float = math.inf
         self.log = RequestLog(clock, metrics)
         self._clock = clock
         self._timers = timers
@@ -67,12 +71,16 @@
 
         Raises:
             BadRequestError: The request is a duplicate: its id is that of an open or recently ended request.
+            OverloadedError: No memory is left for its id; it is counted as rejected.
         """
         if validated.id in self.ids:
             raise BadRequestError(
                 f"x-request-id {validated.id.decode()} belongs to an open or recently ended request",
                 HTTPStatus.CONFLICT,
             )
+        if len(self.ids) >= self.max_ids:
+            self.count_rejection(validated.request_class.name)
+            raise OverloadedError(OVERLOAD_RETRY_AFTER_MS)
         head = upstream_head(
             validated,
             received.method,
--- a/gateway/policy/context.py
+++ b/gateway/policy/context.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import dataclass, field
 
@@ -56,6 +57,7 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         """Create the state before the first turn; `seed` determines all random numbers."""
         self.settings = settings
+        self.max_customers = math.inf  # customers whose accounts, and those whose buckets, may be kept
         self.rng = random.Random(seed)
         self.turn = Turn()
         self.timers = TimerQueue()
@@ -66,6 +68,7 @@
     """Base class of a controller's components, with references to the objects that they share."""
 
     def __init__(self, context: PolicyContext) -> None:
+        self._context = context
         self._settings = context.settings
         self._rng = context.rng
         self._turn = context.turn
--- a/gateway/policy/controller.py
+++ b/gateway/policy/controller.py
@@ -63,6 +63,7 @@
         while timer := self.context.timers.pop_expired(now_ms):
             self._on_timer(timer)
         self.flow.dispatcher.dispatch()
+        self.context.timers.compact(self.flow.open_requests)
         self._send_gossip()
         self._request_wake_up()
         return self.context.turn.actions
@@ -73,6 +74,13 @@
         listed = self.directory.table.listed()
         return len(listed), sum(self.selector.avoids(endpoint) for endpoint in listed)
 
+    def limit_customers(self, max_customers: float) -> None:
+        """Set the number of customers for which accounts, and for which leader's buckets, may be kept.
+
+        Requests and lease requests of further customers are rejected until others can be dropped.
+        """
+        self.context.max_customers = max_customers
+
     def customer_count(self) -> int:
         """Return the number of customers for which this gateway keeps an account or a leader's bucket."""
         return len(self.flow.lease_client.accounts.by_key) + len(self.flow.leader.buckets)
@@ -227,10 +235,9 @@
         self.flow.attempts.limiter.advance_period(self.directory.capacity)
 
     def _drop_unused_state(self) -> None:
-        """Drop unused accounts, unused buckets and the timers of ended requests."""
+        """Drop unused accounts and unused buckets."""
         self.flow.lease_client.accounts.drop_idle_accounts(self.flow.open_requests.values())
         self.flow.leader.drop_idle_buckets()
-        self.context.timers.compact(self.flow.open_requests)
 
     # -- actions at the end of a turn
 
--- a/gateway/policy/quota/accounts.py
+++ b/gateway/policy/quota/accounts.py
@@ -20,6 +20,12 @@
 # Minimum time without a request, in milliseconds, before an account or a leader's bucket may be dropped.
 IDLE_RETENTION_MS = 8000.0
 
+# Minimum time between two drops of accounts or buckets for lack of room, in milliseconds.
+DROP_INTERVAL_MS = 100.0
+
+# Fraction of the accounts that may be kept down to which accounts are dropped for lack of room.
+FILL_FRACTION = 0.75
+
 
 class QuotaAccounts(PolicyComponent):
     """The accounts at this gateway, by customer, plan and set of gateways."""
@@ -27,6 +33,21 @@
     def __init__(self, context: PolicyContext) -> None:
         super().__init__(context)
         self.by_key: dict[AccountKey, CustomerAccount] = {}
+        self._next_drop_at_ms = 0.0  # earliest time of the next drop for lack of room
+
+    def has_room_for(self, arrival: RequestArrived, open_requests: Iterable[RequestRecord]) -> bool:
+        """Return whether the account of a request's customer is kept or may be added.
+
+        If the accounts have reached their number, some that a new account can replace are dropped first, at
+        most once in each DROP_INTERVAL_MS.
+        """
+        key = AccountKey(arrival.customer, arrival.plan_name, arrival.spread, arrival.first_gateway)
+        if len(self.by_key) < self._context.max_customers or key in self.by_key:
+            return True
+        if self._turn.now_ms >= self._next_drop_at_ms:
+            self._next_drop_at_ms = self._turn.now_ms + DROP_INTERVAL_MS
+            self._make_room(open_requests)
+        return len(self.by_key) < self._context.max_customers
 
     def refilled_account(self, arrival: RequestArrived, plan: Plan) -> CustomerAccount:
         """Return the account of a request's customer, refilled; add the account at the first request."""
@@ -54,15 +75,34 @@
         return account
 
     def drop_idle_accounts(self, open_requests: Iterable[RequestRecord]) -> None:
-        """Drop accounts without open requests that a new account can replace.
+        """Drop accounts without open or recent requests that a new account can replace."""
+        now_ms = self._turn.now_ms
+        for key in self._replaceable_keys(open_requests):
+            if now_ms - self.by_key[key].refilled_at_ms > IDLE_RETENTION_MS:
+                del self.by_key[key]
+
+    def _make_room(self, open_requests: Iterable[RequestRecord]) -> None:
+        """Drop replaceable accounts, least demand first, down to FILL_FRACTION of their number.
+
+        Customers that send many requests thus keep their accounts beside ever new ones that send one each.
+        """
+        max_accounts = self._context.max_customers * FILL_FRACTION
+        keys = self._replaceable_keys(open_requests)
+        for key in sorted(keys, key=lambda candidate: self.by_key[candidate].demand):
+            if len(self.by_key) <= max_accounts:
+                return
+            del self.by_key[key]
+
+    def _replaceable_keys(self, open_requests: Iterable[RequestRecord]) -> list[AccountKey]:
+        """Return the keys of the accounts without open requests that a new account can replace.
 
         An account that is in debt, or whose bucket for the ceiling is not full, is kept: a new account would
         grant the missing units again.
         """
         open_accounts = {id(request.account) for request in open_requests}
         now_ms = self._turn.now_ms
-        for key, account in list(self.by_key.items()):
-            is_in_use = id(account) in open_accounts or account.in_flight
-            is_idle = now_ms - account.refilled_at_ms > IDLE_RETENTION_MS
-            if is_idle and not is_in_use and account.is_replaceable(now_ms):
-                del self.by_key[key]
+        return [
+            key
+            for key, account in self.by_key.items()
+            if not account.in_flight and id(account) not in open_accounts and account.is_replaceable(now_ms)
+        ]
--- a/gateway/policy/quota/leader.py
+++ b/gateway/policy/quota/leader.py
@@ -5,7 +5,7 @@
 from gateway.gossip.codec import EntryKind, QuotaEntry
 from gateway.policy.context import CONTROL_PERIOD_MS, PolicyComponent, PolicyContext
 from gateway.policy.dispatch.latency import max_wait_ms
-from gateway.policy.quota.accounts import IDLE_RETENTION_MS
+from gateway.policy.quota.accounts import DROP_INTERVAL_MS, IDLE_RETENTION_MS
 from gateway.policy.quota.ceiling import LEADER_CEILING_FRACTION, initial_ceiling_level
 from gateway.policy.quota.demand import demand_per_s
 from gateway.policy.quota.entry_sender import EntrySender
@@ -37,11 +37,20 @@
         self._send = send
         weights = [request_class.priority_weight for request_class in context.settings.classes]
         self._max_priority_weight = max(weights) or 1.0
+        self._next_drop_at_ms = 0.0  # earliest time of the next drop for lack of room
         self.buckets: dict[int, LeaderBucket] = {}  # by LeaderBucket.id
 
     def on_entry(self, key: LeaseKey, entry: QuotaEntry) -> None:
-        """Handle a gateway's entry about one of its requests; create the bucket at the first entry."""
-        bucket = self.buckets.get(entry.bucket_id) or self._create_bucket(entry)
+        """Handle a gateway's entry about one of its requests; create the bucket at the first entry.
+
+        If no further bucket may be kept, a lease request is denied, and other entries have no effect.
+        """
+        bucket = self.buckets.get(entry.bucket_id)
+        if bucket is None and not self._has_room():
+            if entry.kind in (EntryKind.REQUEST, EntryKind.RETRY_REQUEST):
+                self._send(key.gateway, entry._replace(kind=EntryKind.DENY), key.incarnation)
+            return
+        bucket = bucket or self._create_bucket(entry)
         match entry.kind:
             case EntryKind.REQUEST | EntryKind.RETRY_REQUEST:
                 self._on_lease_request(bucket, key, entry)
@@ -76,14 +85,25 @@
             bucket.ceiling_level -= first.entry.units
             self._send_reply(EntryKind.GRANT, first.key, first.entry, bucket)
 
-    def drop_idle_buckets(self) -> None:
+    def _has_room(self) -> bool:
+        """Return whether another bucket may be kept; if not, drop those that a new bucket can replace first.
+
+        They are dropped at most once in each DROP_INTERVAL_MS.
+        """
+        now_ms = self._turn.now_ms
+        if len(self.buckets) >= self._context.max_customers and now_ms >= self._next_drop_at_ms:
+            self._next_drop_at_ms = now_ms + DROP_INTERVAL_MS
+            self.drop_idle_buckets(retention_ms=0.0)
+        return len(self.buckets) < self._context.max_customers
+
+    def drop_idle_buckets(self, retention_ms: float = IDLE_RETENTION_MS) -> None:
         """Drop buckets without recent requests that a new bucket can replace.
 
         A bucket that is not full is kept: a new bucket would grant the missing units again.
         """
         now_ms = self._turn.now_ms
         for bucket_id, bucket in list(self.buckets.items()):
-            is_idle = now_ms - bucket.refilled_at_ms > IDLE_RETENTION_MS
+            is_idle = now_ms - bucket.refilled_at_ms > retention_ms
             if is_idle and bucket.is_replaceable(now_ms):
                 del self.buckets[bucket_id]
 
--- a/gateway/policy/requests/request_flow.py
+++ b/gateway/policy/requests/request_flow.py
@@ -45,8 +45,8 @@
     def on_arrival(self, arrival: RequestArrived) -> None:
         """Open a new request, which is admitted, waits for its quota, or is rejected at once.
 
-        It is rejected if its class or plan is not in the settings, its deadline has passed, or a request
-        with its id is open.
+        It is rejected if its class or plan is not in the settings, its deadline has passed, a request with
+        its id is open, or the accounts have no room for its customer.
         """
         request_class = self._classes.get(arrival.class_name)
         plan = self._plans.get(arrival.plan_name)
@@ -55,6 +55,9 @@
         if request_class is None or plan is None or is_expired or is_duplicate:
             self._add_action(Reject(arrival.id))
             return
+        if not self.lease_client.accounts.has_room_for(arrival, self.open_requests.values()):
+            self._add_action(Reject(arrival.id, min(MIN_RETRY_AFTER_MS, self._settings.max_retry_after_ms)))
+            return
         account = self.lease_client.accounts.refilled_account(arrival, plan)
         account.demand += arrival.units
         request = RequestRecord.from_arrival(arrival, request_class, plan, account, self._turn.now_ms)
--- a/gateway/policy/timers.py
+++ b/gateway/policy/timers.py
@@ -54,6 +54,7 @@
 
     def __init__(self) -> None:
         self._heap: list[_HeapEntry] = []
+        self._left_after_compaction = 0  # timers in the queue after the last call of `compact`
         self._scheduled_count = 0  # timers scheduled so far, which is the last sequence number
         self._wake_up_at_ms = math.inf  # time of the requested wake-up; inf if none is outstanding
 
@@ -105,11 +106,17 @@
         return max(0.0, first_at_ms - now_ms)
 
     def compact(self, open_requests: Mapping[int, object]) -> None:
-        """Drop the timers of ended requests if the queue is larger than MAX_STALE_TIMERS permits."""
-        if len(self._heap) <= MAX_STALE_TIMERS + len(REQUEST_TIMER_KINDS) * len(open_requests):
+        """Drop the timers of ended requests if the queue is larger than MAX_STALE_TIMERS permits.
+
+        The queue has to be larger than twice the timers that were left, so that the effort for each timer
+        that is scheduled is bounded.
+        """
+        limit = MAX_STALE_TIMERS + len(REQUEST_TIMER_KINDS) * len(open_requests)
+        if len(self._heap) <= max(limit, 2 * self._left_after_compaction):
             return
         self._heap = [entry for entry in self._heap if not _is_stale(entry, open_requests)]
         heapq.heapify(self._heap)
+        self._left_after_compaction = len(self._heap)
 
     def _drop_stale_head(self, open_requests: Container[int]) -> None:
         while _is_stale(self._heap[0], open_requests):
--- a/tests/network/test_gateway.py
+++ b/tests/network/test_gateway.py
@@ -15,7 +15,7 @@
     RequestArrived,
     TimerFired,
 )
-from gateway.network.memory_limits import BYTES_PER_MB, MIN_CAPACITY_BYTES
+from gateway.network.memory_limits import BYTES_PER_MB, MIN_CAPACITY_BYTES, ProcessMemory
 
 
 async def test_request_and_response_are_forwarded_unchanged(endpoint, controller, gateway, client):
@@ -100,7 +100,8 @@
 
 async def test_memory_that_the_process_occupies_is_not_available_for_requests(monkeypatch, gateway):
     before = gateway.memory.capacity_bytes
-    monkeypatch.setattr("gateway.network.gateway.process_bytes", lambda: 500 * BYTES_PER_MB)
+    occupied = ProcessMemory(500 * BYTES_PER_MB)
+    monkeypatch.setattr("gateway.network.gateway.process_memory", lambda: occupied)
     gateway.start_serving()
     assert MIN_CAPACITY_BYTES < gateway.memory.capacity_bytes < before
     alone = gateway.memory.capacity_bytes
--- a/tests/network/test_memory_budget.py
+++ b/tests/network/test_memory_budget.py
@@ -6,12 +6,17 @@
 
 from gateway.network.memory_budget import BUFFERING_FRACTION, WINDOW_BYTES, MemoryBudget, Reservation
 from gateway.network.memory_limits import (
+    BYTES_PER_CUSTOMER,
     BYTES_PER_DESCRIPTOR,
     BYTES_PER_MB,
+    BYTES_PER_REQUEST_ID,
     MIN_CAPACITY_BYTES,
+    MIN_CUSTOMERS,
     MIN_PROCESS_BYTES,
-    buffer_capacity,
-    process_bytes,
+    MIN_REQUEST_IDS,
+    ProcessMemory,
+    memory_limits,
+    process_memory,
 )
 
 CAPACITY_BYTES = 16 * WINDOW_BYTES
@@ -78,20 +83,28 @@
 @pytest.mark.parametrize("memory_mb", [32, 48, 64, 96, 192])
 def test_capacities_of_all_processes_fit_beside_their_state(memory_mb, descriptors, processes):
     memory_bytes = memory_mb * BYTES_PER_MB
-    capacity = buffer_capacity(memory_bytes, descriptors, processes)
-    state_bytes = processes * MIN_PROCESS_BYTES + descriptors * BYTES_PER_DESCRIPTOR
+    occupied = ProcessMemory(MIN_PROCESS_BYTES, shared_bytes=10 * BYTES_PER_MB)
+    limits = memory_limits(memory_bytes, descriptors, processes, occupied)
+    capacity = limits.buffered_bytes
+    state_bytes = (
+        processes * occupied.private_bytes + occupied.shared_bytes + descriptors * BYTES_PER_DESCRIPTOR
+    )
     assert capacity == MIN_CAPACITY_BYTES or processes * capacity + state_bytes < memory_bytes
     assert capacity >= MIN_CAPACITY_BYTES
+    names_bytes = limits.customers * BYTES_PER_CUSTOMER + limits.request_ids * BYTES_PER_REQUEST_ID
+    has_minimum = limits.customers == MIN_CUSTOMERS or limits.request_ids == MIN_REQUEST_IDS
+    assert has_minimum or processes * (capacity + names_bytes) + state_bytes < memory_bytes
 
 
 def test_memory_that_a_large_fleet_occupies_reduces_the_capacity():
     memory_bytes = 64 * BYTES_PER_MB
     occupied_bytes = 40 * BYTES_PER_MB
-    capacity = buffer_capacity(memory_bytes, 256, occupied_bytes=occupied_bytes)
+    capacity = memory_limits(memory_bytes, 256, occupied=ProcessMemory(occupied_bytes)).buffered_bytes
     assert MIN_CAPACITY_BYTES < capacity < memory_bytes - occupied_bytes
 
 
 def test_memory_of_the_process_contains_its_private_pages():
-    before = process_bytes()
+    before = process_memory().private_bytes
     block = bytearray(64 * BYTES_PER_MB)
-    assert process_bytes() > before - MIN_PROCESS_BYTES + len(block) // 2
+    assert process_memory().private_bytes > before - MIN_PROCESS_BYTES + len(block) // 2
+    assert process_memory().shared_bytes > 0
--- a/tests/support/scripted_controller.py
+++ b/tests/support/scripted_controller.py
@@ -36,6 +36,9 @@
                 actions.append(Fail(event.id))
         return actions
 
+    def limit_customers(self, max_customers):
+        """Do nothing: this controller keeps no accounts."""
+
     def customer_count(self):
         """Return 0: this controller keeps no accounts."""
         return 0
