--- a/tools/fault_injection/endpoint.py
+++ b/tools/fault_injection/endpoint.py
@@ -56,7 +56,8 @@
     """One request that an endpoint received completely; times are those of the monotonic clock in seconds."""
 
     request_id: str
-    received_s: float
+    begun_s: float  # when its head had arrived
+    received_s: float  # when its last byte had arrived
     body_bytes: int
     answered_s: float | None = None  # None until the last byte of the answer has been written
     was_cut_off_s: float | None = None  # when the connection ended while the answer was being written
@@ -74,9 +75,10 @@
         """Answer the requests on a connection one after another."""
         while True:
             first_line, fields = parse_head(await stream.read_until(b"\r\n\r\n"))
+            begun_s = time.monotonic()
             behavior = EndpointBehavior.from_target(first_line.split(" ")[1])
             body_bytes = await self._read_body(stream, fields, behavior)
-            execution = Execution(fields.get("x-request-id", ""), time.monotonic(), body_bytes)
+            execution = Execution(fields.get("x-request-id", ""), begun_s, time.monotonic(), body_bytes)
             self.executions.append(execution)
             await asyncio.sleep(behavior.work)
             try:
--- a/tools/fault_injection/gateway_process.py
+++ b/tools/fault_injection/gateway_process.py
@@ -68,7 +68,8 @@
     seed: int = 1
     quota_per_s: float = 5000.0  # quota of each customer, in units a second
     plan_fields: tuple[tuple[str, float], ...] = ()  # further fields of the customers' plan
-    preload: str = ""  # path of a library that is loaded into the process; empty: none
+    preload: str = ""  # path of the library that limits the socket buffers of the process; empty: none
+    preload_buffer_bytes: int = 0  # the size to which it limits them
 
     def to_json(self, port: int, admin_port: int, discovery: str) -> dict[str, Any]:
         """Return the configuration of a single gateway with these addresses."""
@@ -141,6 +142,7 @@
         environment = {**os.environ, "BALANCER_CONFIG": str(path), "TMPDIR": str(self._folder)}
         if self.plan.preload:
             environment["LD_PRELOAD"] = self.plan.preload
+            environment["BUFFER_BYTES"] = str(self.plan.preload_buffer_bytes)
         with self.log_path.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 "/bin/sh", "-c", command, cwd=ROOT, env=environment, stderr=log
--- a/tools/fault_injection/rules.py
+++ b/tools/fault_injection/rules.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
+from http import HTTPStatus
 
 from tools.fault_injection.client import LARGE_ANSWER_BYTES, Outcome
 from tools.fault_injection.endpoint import Execution
@@ -29,7 +30,9 @@
     CUT_OFF = "cut off"  # its answer was cut off while the endpoint was writing it
     FOREIGN = "foreign"  # it received the answer to another request
     DUPLICATE = "duplicate"  # it was executed more than once
-    RAN_AFTER_LEAVING = "ran after leaving"  # it was executed after its client had left
+    CRASH = "crash"  # a process ended other than by its shutdown
+    MEMORY = "memory"  # a process exceeded its limit on resident memory
+    RAN_AFTER_LEAVING = "ran after leaving"  # an attempt for it began after its client had left
 
 
 @dataclass(frozen=True)
@@ -71,7 +74,7 @@
 def _broken_rules(outcome: Outcome, executions: list[Execution]) -> list[Rule]:
     if outcome.left_s is not None:
         last_start_s = outcome.left_s + MAX_RUN_AFTER_LEAVING_S
-        return [Rule.RAN_AFTER_LEAVING for execution in executions if execution.received_s > last_start_s]
+        return [Rule.RAN_AFTER_LEAVING for execution in executions if execution.begun_s > last_start_s]
     rules = []
     if outcome.is_foreign:
         rules.append(Rule.FOREIGN)
@@ -99,5 +102,7 @@
     behavior = outcome.plan.behavior
     if behavior.size <= LARGE_ANSWER_BYTES or behavior.hang >= 0 or outcome.plan.read_rate:
         return False
+    if outcome.status == HTTPStatus.CONFLICT:
+        return False  # the answer belongs to another request with the same id
     is_whole = outcome.is_complete and outcome.status == 200 and outcome.answer_bytes >= behavior.size
     return not is_whole and any(execution.was_cut_off_s is not None for execution in executions)
