--- a/tests/process/test_crowds.py
+++ b/tests/process/test_crowds.py
@@ -1,6 +1,7 @@
 """Tests that crowds of clients neither exceed the memory limit nor keep others from their answers."""
 
 import asyncio
+import contextlib
 import time
 
 import pytest
@@ -92,3 +93,49 @@
             *(send_request(fleet.gateway.port, plan, stream) for plan, stream in pairs)
         )
         assert not fleet.check(outcomes)
+
+
+def flood_blocks():
+    """Return what a client may write at full speed on one connection, by a name of the flood."""
+    head = (
+        RequestPlan("flood", "correction", 5.0, body_bytes=10, is_chunked=True).encode().split(b"\r\n\r\n")[0]
+    )
+    return {
+        "bad heads": b"GET /nothing HTTP/1.1\r\nHost: h\r\n\r\n" * 200,
+        "noise": b"what is this\r\n\r\n" * 400,
+        "chunks of one byte": head + b"\r\n\r\n" + b"1\r\nx\r\n" * 8000,
+        "pipelined": RequestPlan("flood", "reading", 5.0).encode() * 100,
+    }
+
+
+async def flood(port, block, until_s):
+    """Write the block again and again, on a new connection whenever the gateway closes the last one."""
+    while time.monotonic() < until_s:
+        stream = await Stream.connect(port)
+        reading = asyncio.create_task(read_all(stream))
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(max(0.0, until_s - time.monotonic())):
+                while not reading.done():
+                    await stream.write(block)
+                    await asyncio.sleep(0)
+        reading.cancel()
+        await asyncio.gather(reading, return_exceptions=True)
+        stream.close()
+
+
+async def read_all(stream):
+    """Read and drop the input of a connection up to its end."""
+    while await stream.read():
+        pass
+
+
+@pytest.mark.parametrize("kind", ["bad heads", "noise", "chunks of one byte", "pipelined"])
+async def test_others_get_their_answers_in_time_beside_a_flood_on_one_connection(kind, tmp_path):
+    async with run_fleet(tmp_path, GatewayPlan(32, 256)) as fleet:
+        until_s = time.monotonic() + 2.5
+        flooding = asyncio.create_task(flood(fleet.gateway.port, flood_blocks()[kind], until_s))
+        outcomes = await fleet.send(small_requests(40), interval_s=0.05)
+        await flooding
+        assert not fleet.check(outcomes)
+        assert all(outcome.status == 200 for outcome in outcomes)
+        assert fleet.gateway.memory_mb("VmHWM") < 32
