End a short response that is forwarded for lack of memory half a second after its deadline

Callers of a gateway whose memory was scarce would have seen an answer of up to 64 KiB up to 10 s late: its forwarding ended the deadline, as for a large response, although its last byte is due. The test failed before (the client still waited after 10 s).

--- a/gateway/network/attempt_runner.py
+++ b/gateway/network/attempt_runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from http import HTTPStatus
 
 from gateway.interface.actions import CancelAttempt, ForwardResponse, SendAttempt
@@ -14,6 +15,7 @@
 from gateway.network.controller_loop import EventSink
 from gateway.network.request_table import RequestTable
 from gateway.network.upstream.attempt import AttemptOutcome, UpstreamAttempt
+from gateway.network.upstream.exchange import MAX_BUFFERED_BYTES
 from gateway.network.upstream.pool import UpstreamPool
 from gateway.network.upstream.response_sink import ResponseSink
 
@@ -115,8 +117,12 @@
             return None
         request.streaming_attempt = attempt.number
         attempt.on_forwarding_started(self._clock.now())
-        # From now on the duration of the response is limited by stall detection and not by the deadline.
-        self._requests.stop_guard_timer(request)
+        if length is not None and length <= MAX_BUFFERED_BYTES and request.deadline_at_ms < math.inf:
+            # The response is forwarded for lack of memory only. Its last byte is due at the deadline.
+            self._requests.limit_forwarding(request, lambda: attempt.fail(AttemptResult.TIMEOUT))
+        else:
+            # From now on the response is limited by stall detection and not by the deadline.
+            self._requests.stop_guard_timer(request)
         request.client.start_response(source, length, content_type)
         self._events.enqueue(ResponseStarted(request.id, attempt.number, attempt.endpoint_id))
         return request.client
--- a/gateway/network/clients/open_request.py
+++ b/gateway/network/clients/open_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -70,6 +71,7 @@
     attempt_count: int = 0  # attempts started so far
     streaming_attempt: int | None = None  # number of the attempt whose response is being forwarded
     guard_timer: Timer | None = None  # sends a response before the deadline if the controller does not
+    deadline_at_ms: float = math.inf  # clock time of the client's deadline; infinite while none runs
 
     def attempt_head(self, deadline_ms: float) -> bytes:
         """Return the head of an attempt.
--- a/gateway/network/request_table.py
+++ b/gateway/network/request_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from http import HTTPStatus
 
 from gateway.errors import BadRequestError, OverloadedError
@@ -28,6 +29,10 @@
 # Milliseconds after which a client may retry a request for which the process lacked memory.
 OVERLOAD_RETRY_AFTER_MS = 250.0
 
+# Milliseconds after the client's deadline at which a short response that is being forwarded is aborted. Half a
+# second after the deadline, the request would count as lost.
+MAX_RESPONSE_DELAY_MS = 400.0
+
 # Milliseconds between rotations of the recently used request ids. The id of an ended request is rejected for
 # one to two intervals.
 ID_ROTATION_INTERVAL_MS = 2000.0
@@ -121,6 +126,7 @@
         self.stop_guard_timer(request)
         if request.streaming_attempt is not None:
             return
+        request.deadline_at_ms = deadline_at_ms
         request.guard_timer = self._timers.call_at(
             deadline_at_ms - GUARD_MARGIN_MS, lambda: self._on_guard_expired(request)
         )
@@ -131,6 +137,14 @@
             request.guard_timer.cancel()
             request.guard_timer = None
 
+    def limit_forwarding(self, request: OpenRequest, abort: Callable[[], None]) -> None:
+        """Call `abort` when a response that is being forwarded would end too late after the deadline.
+
+        Replaces the guard timer; to be called for a response whose time is that of its last byte.
+        """
+        self.stop_guard_timer(request)
+        request.guard_timer = self._timers.call_at(request.deadline_at_ms + MAX_RESPONSE_DELAY_MS, abort)
+
     def begin_shutdown(self, end_ms: float) -> None:
         """Limit the deadlines of requests that are received from now on to the clock time `end_ms`."""
         self._shutdown_end_ms = end_ms
--- a/tests/network/test_scarce_memory.py
+++ b/tests/network/test_scarce_memory.py
@@ -1,5 +1,7 @@
 """Tests of a running gateway whose memory for bodies and responses is scarce."""
 
+import asyncio
+
 import pytest
 import pytest_asyncio
 from support.fake_endpoint import RawEndpoint
@@ -93,6 +95,22 @@
     assert gateway.memory.reserved_bytes == 0
 
 
+async def test_short_response_that_is_forwarded_ends_half_a_second_after_its_deadline_at_the_latest(
+    endpoint, gateway, client
+):
+    """Guards against short answers seconds after the deadline where memory is scarce."""
+    gateway.memory.capacity_bytes = SCARCE_BYTES
+    client.send(http_request(deadline=200))
+    started_s = asyncio.get_running_loop().time()
+    _, _, writer = await endpoint.next_request_head()
+    writer.write(http_response(body=bytes(RESPONSE_BYTES))[: RESPONSE_BYTES // 2])
+    await client.reader.readuntil(b"\r\n\r\n")
+    with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+        await client.reader.readexactly(RESPONSE_BYTES)
+    assert 0.5 < asyncio.get_running_loop().time() - started_s < 0.7
+    assert not gateway.requests.open_requests
+
+
 async def test_small_messages_are_buffered_even_if_memory_is_scarce(endpoint, controller, gateway, client):
     """Guards against small requests that cannot be retried because of large transfers beside them."""
     gateway.memory.capacity_bytes = WINDOW_BYTES  # for the window of this request only
--- a/tests/policy/requests/test_streamed_requests.py
+++ b/tests/policy/requests/test_streamed_requests.py
@@ -147,3 +147,13 @@
     controller.handle(100.0, [ResponseBegun(1, 0)])
     actions = controller.handle(200.0, [AttemptEnded(1, 0, send.endpoint, 200.0, AttemptResult.RESET, False)])
     assert [type(action) for action in actions_of_type(FINAL_ANSWERS, actions)] == [Reject]
+
+
+def test_deadline_of_the_arrival_does_not_end_a_body_that_was_completed_before_it():
+    """Guards against a timer of an earlier deadline that ends the request at its time."""
+    controller = new_controller()
+    controller.handle(0.0, [SIX_ENDPOINTS, incomplete_arrival(1)])
+    controller.handle(1400.0, [BodyReleased(1), RequestCompleted(1, 2900.0)])
+    by_time = actions_between(controller, 1404, 3000)
+    (time_ms,) = [at_ms for at_ms, actions in by_time.items() if actions_of_type(FINAL_ANSWERS, actions)]
+    assert 2870 <= time_ms <= 2900
