Keep the id of an ended request for as long as its attempt may be executed

The id of an ended request was rejected for 2 to 4 s. An attempt that was written completely goes on when its client has left, up to its deadline, so an id that came again after 4 s could be executed beside it where deadlines are longer. Ids are rotated early while over half of their limit is in use, and requests beyond it are rejected.

--- a/gateway/network/gateway.py
+++ b/gateway/network/gateway.py
@@ -68,6 +68,10 @@
         self.requests = RequestTable(
             self.clock, self.timers, self.metrics, self.attempts, self.controller_loop
         )
+        # An attempt of an ended request may be executed up to its deadline, so its id is kept for as long.
+        self.requests.id_retention_ms = max(
+            request_class.deadline_ms for request_class in config.settings.classes
+        )
         self.attempt_runner = AttemptRunner(
             self.clock, self.upstreams, self.requests, self.attempts, self.controller_loop
         )
--- a/gateway/network/request_table.py
+++ b/gateway/network/request_table.py
@@ -29,14 +29,17 @@
 # Milliseconds after which a client may retry a request for which the process lacked memory.
 OVERLOAD_RETRY_AFTER_MS = 250.0
 
-# Milliseconds after the client's deadline at which a short response that is being forwarded is aborted. Half a
-# second after the deadline, the request would count as lost.
+# Milliseconds after the client's deadline at which a short response that is being forwarded is aborted. Half
+# a second after the deadline, the request would count as lost.
 MAX_RESPONSE_DELAY_MS = 400.0
 
-# Milliseconds between rotations of the recently used request ids. The id of an ended request is rejected for
-# one to two intervals.
+# Least time in milliseconds between rotations of the recently used request ids. The id of an ended request is
+# rejected for one to two intervals.
 ID_ROTATION_INTERVAL_MS = 2000.0
 
+# Fraction of the request ids that may be kept above which they are rotated as often as possible.
+EARLY_ROTATION_FRACTION = 0.5
+
 
 class RequestTable:
     """The open requests, with their guard timers and ids.
@@ -57,6 +60,9 @@
         self.open_requests: dict[int, OpenRequest] = {}
         self.ids = RecentIds()
         self.max_ids: float = math.inf
+        # Time for which the id of an ended request is rejected at least, while ids are not scarce.
+        self.id_retention_ms = ID_ROTATION_INTERVAL_MS
+        self._rotated_at_ms = clock.now()
         self.log = RequestLog(clock, metrics)
         self._clock = clock
         self._timers = timers
@@ -65,7 +71,7 @@
         self._events = events
         self._last_id = 0
         self._shutdown_end_ms = math.inf  # clock time of the planned end of the shutdown
-        timers.call_at(clock.now() + ID_ROTATION_INTERVAL_MS, self.rotate_ids)
+        timers.call_at(clock.now() + ID_ROTATION_INTERVAL_MS, self._rotate_ids_if_due)
 
     # -- acceptance
 
@@ -252,10 +258,18 @@
     # -- periodic tasks
 
     def rotate_ids(self) -> None:
-        """Remove ids of requests that ended before the previous rotation, and schedule the next rotation."""
-        self._timers.call_at(self._clock.now() + ID_ROTATION_INTERVAL_MS, self.rotate_ids)
+        """Remove the ids of requests that ended before the previous rotation."""
+        self._rotated_at_ms = self._clock.now()
         self.ids.rotate()
 
+    def _rotate_ids_if_due(self) -> None:
+        """Rotate the ids if `id_retention_ms` have passed or ids are scarce, and schedule the next check."""
+        now_ms = self._clock.now()
+        self._timers.call_at(now_ms + ID_ROTATION_INTERVAL_MS, self._rotate_ids_if_due)
+        are_scarce = len(self.ids) > self.max_ids * EARLY_ROTATION_FRACTION
+        if are_scarce or now_ms - self._rotated_at_ms >= self.id_retention_ms:
+            self.rotate_ids()
+
     def close_disconnected_uploads(self) -> None:
         """Close the connections of clients that have disconnected during an upload.
 
--- a/tests/network/test_request_table.py
+++ b/tests/network/test_request_table.py
@@ -6,7 +6,7 @@
 from support.configurations import configuration
 
 from gateway.config import config_from
-from gateway.errors import BadRequestError
+from gateway.errors import BadRequestError, OverloadedError
 from gateway.interface.events import ClientDisconnected
 from gateway.network.admin.metrics import FinalStatus, Metrics
 from gateway.network.attempt_table import AttemptTable
@@ -203,3 +203,28 @@
         harness.add_request(b"r1")
     harness.timers.advance(ID_ROTATION_INTERVAL_MS)
     assert harness.add_request(b"r1").request_id == b"r1"
+
+
+def test_id_is_kept_as_long_as_an_attempt_may_be_executed(harness):
+    """Guards against a second execution of an id that comes again during its first attempt."""
+    harness.table.id_retention_ms = 3 * ID_ROTATION_INTERVAL_MS
+    request = harness.add_request()
+    harness.table.fail(request.id)
+    harness.timers.advance(3 * ID_ROTATION_INTERVAL_MS - 1)
+    assert request.request_id in harness.table.ids
+    for _ in range(6):
+        harness.timers.advance(ID_ROTATION_INTERVAL_MS)
+    assert request.request_id not in harness.table.ids
+
+
+def test_ids_are_removed_early_while_they_are_scarce_and_further_requests_are_rejected(harness):
+    """Guards against ids that grow without a limit."""
+    harness.table.id_retention_ms = 100 * ID_ROTATION_INTERVAL_MS
+    harness.table.max_ids = 1
+    request = harness.add_request()
+    harness.table.fail(request.id)
+    with pytest.raises(OverloadedError):
+        harness.add_request(request_id=b"another")
+    for _ in range(3):
+        harness.timers.advance(ID_ROTATION_INTERVAL_MS)
+    harness.add_request(request_id=b"another")
