--- a/gateway/network/clients/connection.py
+++ b/gateway/network/clients/connection.py
@@ -17,6 +17,7 @@
 from gateway.network.clients.connection_state import ConnectionState
 from gateway.network.clients.open_request import OpenRequest
 from gateway.network.clients.received_request import ReceivedRequest
+from gateway.network.clients.rejection_pause import RejectionPause
 from gateway.network.clients.request_events import (
     BodyCompleted,
     BodyReceived,
@@ -42,17 +43,6 @@
 # The same maximum for a response that has only the smallest window.
 MIN_RESPONSE_BACKLOG_BYTES = NARROW_READ_BYTES
 
-# Milliseconds for which the gateway does not read from a connection after its first rejected request. The
-# pause doubles with each further rejected request on the connection, up to MAX_REJECTION_PAUSE_MS.
-MIN_REJECTION_PAUSE_MS = 50.0
-
-# Maximum time in milliseconds for which the gateway does not read from a connection after a rejected request.
-MAX_REJECTION_PAUSE_MS = 1000.0
-
-# Upper bound of the exponent in the pause MIN_REJECTION_PAUSE_MS * 2**exponent. It only keeps the power of
-# two from growing with each rejected request: five doublings already exceed MAX_REJECTION_PAUSE_MS.
-MAX_PAUSE_DOUBLINGS = 10
-
 # The states as module variables, because access to an enum member through its class is slow in Python 3.11.
 _IDLE = ConnectionState.IDLE
 _RECEIVING = ConnectionState.RECEIVING
@@ -95,12 +85,9 @@
         self.closing_since_ms = 0.0
         self._handler = handler
         self._writer = ResponseWriter()
-        # Number of rejected requests after which the connection stayed open, which is never reset. It is the
-        # exponent of the next pause after a rejection.
-        self._rejection_count = 0
+        self._rejection_pause = RejectionPause(handler.clock, handler.timers)
         self.body_progress = BodyProgress()
         self._flow = BodyFlow(self, self.body_progress, handler)
-        self._paused_at_ms = 0.0  # clock time at which reading paused after the last rejected request
         self._reset_request_state()
 
     def _reset_request_state(self) -> None:
@@ -241,9 +228,9 @@
         """Begin to receive a request; reject it if the client does not read its earlier responses."""
         self._reset_request_state()
         self.state = _RECEIVING
-        if self._paused_at_ms:
-            self._flow.hold_up(self._paused_at_ms)
-            self._paused_at_ms = 0.0
+        waits_since_ms = self._rejection_pause.take_start_ms()
+        if waits_since_ms is not None:
+            self._flow.hold_up(waits_since_ms)
         if self.transport.get_write_buffer_size() > MAX_RESPONSE_BACKLOG_BYTES:
             self._abort_request(HTTPStatus.BAD_REQUEST)
             return
@@ -312,17 +299,12 @@
         self.state = _PAUSED
         self.transport.write(self._writer.error_response(status, close=False))
         self.transport.pause_reading()
-        pause_ms = MIN_REJECTION_PAUSE_MS * 2 ** min(self._rejection_count, MAX_PAUSE_DOUBLINGS)
-        self._rejection_count += 1
-        self._paused_at_ms = self._handler.clock.now()
-        resume_at_ms = self._paused_at_ms + min(MAX_REJECTION_PAUSE_MS, pause_ms)
-        self._handler.timers.call_at(resume_at_ms, self._resume_after_rejection)
+        self._rejection_pause.start(self._resume_after_rejection)
 
     def _resume_after_rejection(self) -> None:
         if self.state is _PAUSED:
             self.state = _IDLE
-            if not self.has_unread_input():
-                self._paused_at_ms = 0.0  # the next request has not been written during the pause
+            self._rejection_pause.end(has_unread_input=self.has_unread_input())
             if not self.transport.is_closing():
                 self.transport.resume_reading()
 
--- a/gateway/policy/quota/accounts.py
+++ b/gateway/policy/quota/accounts.py
@@ -41,8 +41,9 @@
         If the accounts have reached their number, some that a new account can replace are dropped first, at
         most once in each DROP_INTERVAL_MS.
         """
-        key = AccountKey(arrival.customer, arrival.plan_name, arrival.spread, arrival.first_gateway)
-        if len(self.by_key) < self._context.max_customers or key in self.by_key:
+        if len(self.by_key) < self._context.max_customers:
+            return True
+        if _account_key(arrival) in self.by_key:
             return True
         if self._turn.now_ms >= self._next_drop_at_ms:
             self._next_drop_at_ms = self._turn.now_ms + DROP_INTERVAL_MS
@@ -51,7 +52,7 @@
 
     def refilled_account(self, arrival: RequestArrived, plan: Plan) -> CustomerAccount:
         """Return the account of a request's customer, refilled; add the account at the first request."""
-        key = AccountKey(arrival.customer, plan.name, arrival.spread, arrival.first_gateway)
+        key = _account_key(arrival)
         account = self.by_key.get(key)
         if account is None:
             account = self.new_account(key, plan)
@@ -106,3 +107,7 @@
             for key, account in self.by_key.items()
             if not account.in_flight and id(account) not in open_accounts and account.is_replaceable(now_ms)
         ]
+
+
+def _account_key(arrival: RequestArrived) -> AccountKey:
+    return AccountKey(arrival.customer, arrival.plan_name, arrival.spread, arrival.first_gateway)
