--- a/gateway/network/clients/connection.py
+++ b/gateway/network/clients/connection.py
@@ -85,7 +85,7 @@
         self.closing_since_ms = 0.0
         self._handler = handler
         self._writer = ResponseWriter()
-        self._rejection_pause = RejectionPause(handler.clock, handler.timers)
+        self._rejection_pause = RejectionPause(handler)
         self.body_progress = BodyProgress()
         self._flow = BodyFlow(self, self.body_progress, handler)
         self._reset_request_state()
--- a/gateway/network/clients/rejection_pause.py
+++ b/gateway/network/clients/rejection_pause.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Protocol
 
 from gateway.network.clock import Clock, Timers
 
@@ -18,13 +19,19 @@
 MAX_PAUSE_DOUBLINGS = 10
 
 
+class TimeSource(Protocol):
+    """The clock and the timers that a pause uses when it begins."""
+
+    clock: Clock
+    timers: Timers
+
+
 class RejectionPause:
     """Times the pauses of one connection, and remembers since when its next request may wait."""
 
-    def __init__(self, clock: Clock, timers: Timers) -> None:
+    def __init__(self, time_source: TimeSource) -> None:
         """Start without a rejected request."""
-        self._clock = clock
-        self._timers = timers
+        self._time_source = time_source
         # Number of rejected requests after which the connection stayed open, which is never reset. It is the
         # exponent of the next pause.
         self._rejection_count = 0
@@ -34,8 +41,9 @@
         """Start a pause, and call `on_end` at its end."""
         pause_ms = MIN_REJECTION_PAUSE_MS * 2 ** min(self._rejection_count, MAX_PAUSE_DOUBLINGS)
         self._rejection_count += 1
-        self._started_at_ms = self._clock.now()
-        self._timers.call_at(self._started_at_ms + min(MAX_REJECTION_PAUSE_MS, pause_ms), on_end)
+        self._started_at_ms = self._time_source.clock.now()
+        ends_at_ms = self._started_at_ms + min(MAX_REJECTION_PAUSE_MS, pause_ms)
+        self._time_source.timers.call_at(ends_at_ms, on_end)
 
     def end(self, *, has_unread_input: bool) -> None:
         """Record the end of a pause, and whether the next request may have been written during it."""
