--- a/gateway/network/clients/connection_limiter.py
+++ b/gateway/network/clients/connection_limiter.py
@@ -101,6 +101,10 @@
     def received_bytes(self) -> int:
         """The size of the part that has been received of an unanswered request, 0 if there is none."""
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether the gateway or the client is ending the connection."""
+
     def is_transferable(self) -> bool:
         """Return whether the connection can be handed over: it is idle, and all responses are written."""
 
@@ -266,8 +270,9 @@
         timeout_ms = SHUTDOWN_INPUT_TIMEOUT_MS if is_draining else INPUT_TIMEOUT_MS
         for client in _in_table_longer_than(self._awaiting_request, now_ms, timeout_ms):
             if is_draining or client.is_input_overdue(now_ms, timeout_ms, MIN_BODY_BYTES_PER_MS):
-                self._record(client, CloseReason.INPUT_TIMEOUT)
+                received_bytes = client.received_bytes
                 client.on_input_timeout()
+                self._record_if_closing(client, CloseReason.INPUT_TIMEOUT, received_bytes)
 
     def _close_unused_under_overload(self, now_ms: float) -> None:
         """Under overload, close unused connections after OVERLOAD_IDLE_MS, so that new clients can connect.
@@ -284,8 +289,8 @@
     def _close_unused(self, clients: list[LimitedConnection], excess: int) -> None:
         """Close the first of these connections, as many as there are in excess."""
         for client in clients[: max(0, excess)]:
-            self._record(client, CloseReason.UNUSED_UNDER_OVERLOAD)
             client.close_if_idle()
+            self._record_if_closing(client, CloseReason.UNUSED_UNDER_OVERLOAD)
 
     def _close_expired_idle(self, now_ms: float) -> None:
         """Close the idle connections in excess of `max_idle` after MIN_IDLE_MS, the longest idle ones first.
@@ -298,8 +303,8 @@
         else:
             expired = _in_table_longer_than(self._idle, now_ms, IDLE_TIMEOUT_MS)
         for client in expired:
-            self._record(client, CloseReason.IDLE)
             client.close_if_idle()
+            self._record_if_closing(client, CloseReason.IDLE)
 
     def _abort_expired_closing(self, now_ms: float, is_draining: bool) -> None:
         """Abort closing connections after the linger timeout, which input from the client extends.
@@ -319,6 +324,13 @@
         if self._recorder is not None:
             self._recorder.on_connection_closed(reason, client.received_bytes)
 
+    def _record_if_closing(
+        self, client: LimitedConnection, reason: CloseReason, received_bytes: int = 0
+    ) -> None:
+        """Record the close of a connection, unless it stays open for its unread request."""
+        if self._recorder is not None and client.is_closing:
+            self._recorder.on_connection_closed(reason, received_bytes)
+
     def _remove_from_tables(self, client: LimitedConnection) -> None:
         for table in (self._awaiting_request, self._idle, self._closing):
             table.pop(client, None)
--- a/tests/network/clients/test_connection_limiter.py
+++ b/tests/network/clients/test_connection_limiter.py
@@ -8,6 +8,8 @@
 from support.gateway_steps import complete_request, sweep_connections_after, wait_until_connected
 from support.http_messages import http_request, http_response
 
+from gateway.network.clients.connection_limiter import OVERLOAD_IDLE_MS
+
 
 async def test_eviction_order_is_closing_then_awaiting_a_request_then_idle(
     endpoint, gateway, running_gateway, client
@@ -104,3 +106,14 @@
     sweep_connections_after(gateway, 300)
     other.send(http_request())
     assert not (await endpoint.next_request()).is_disconnect
+
+
+async def test_connection_that_is_kept_for_its_unread_request_does_not_count_as_closed(gateway, client):
+    """Guards against a metric that counts a close again and again although the connection stays open."""
+    await wait_until_connected(gateway, 1)
+    (connection,) = gateway.connections.open_connections
+    send_without_reading(client, connection)
+    gateway.connections.new_connections_threshold = 0
+    gateway.connections.sweep(gateway.clock.now() + OVERLOAD_IDLE_MS + 1, False)
+    assert not connection.is_closing
+    assert not any(gateway.metrics.closes.values())
