--- a/gateway/network/clock.py
+++ b/gateway/network/clock.py
@@ -56,6 +56,7 @@
         self._loop = loop
         self._clock = clock
         self._heap: list[tuple[float, int, Timer]] = []
+        self._report_cancelled = self._on_timer_cancelled  # one object for all timers
         self._cancelled_count = 0  # cancelled timers in the heap, at most
         self._scheduled_count = 0  # orders timers of equal times by their scheduling
         self._handle: asyncio.TimerHandle | None = None
@@ -67,7 +68,7 @@
         A callback that raises does not prevent the calls of other timers.
         """
         self._scheduled_count += 1
-        timer = Timer(callback, self._on_timer_cancelled)
+        timer = Timer(callback, self._report_cancelled)
         heapq.heappush(self._heap, (when_ms, self._scheduled_count, timer))
         if when_ms < self._armed_at_ms:
             self._arm(when_ms)
