Do not cut off a long answer that began before its body was complete

Callers saw such an answer end at their time although its endpoint was writing it: the end of the body started the timeout of its attempt, without regard to a response that was being forwarded already.

On the same path: a short answer that is forwarded for lack of memory got no limit if its body ended later, or one from an earlier deadline that had stopped.

--- a/gateway/network/attempt_runner.py
+++ b/gateway/network/attempt_runner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from http import HTTPStatus
 
 from gateway.interface.actions import CancelAttempt, ForwardResponse, SendAttempt
@@ -69,10 +68,12 @@
         """Start the timeouts of the attempts of a request whose last byte has just been received.
 
         The latency of the attempts is measured from now on. It excludes the time that the client took for the
-        upload.
+        upload. An attempt whose response is being forwarded already keeps its latency and gets no timeout.
         """
         now_ms = self._clock.now()
         for attempt in self._attempts.of_request(request):
+            if attempt.number == request.streaming_attempt:
+                continue
             attempt.started_ms = now_ms
             self._upstreams.start_timeout(attempt, timeout_ms)
 
@@ -117,12 +118,11 @@
             return None
         request.streaming_attempt = attempt.number
         attempt.on_forwarding_started(self._clock.now())
-        if length is not None and length <= MAX_BUFFERED_BYTES and request.deadline_at_ms < math.inf:
-            # The response is forwarded for lack of memory only. Its last byte is due at the deadline.
-            self._requests.limit_forwarding(request, lambda: attempt.fail(AttemptResult.TIMEOUT))
-        else:
-            # From now on the response is limited by stall detection and not by the deadline.
-            self._requests.stop_guard_timer(request)
+        # From now on a long response is limited by stall detection and not by the deadline. A short one is
+        # forwarded for lack of memory only, and its last byte is due at the deadline.
+        if length is not None and length <= MAX_BUFFERED_BYTES:
+            request.abort_forwarding = lambda: attempt.fail(AttemptResult.TIMEOUT)
+        self._requests.restart_guard_timer(request)
         request.client.start_response(source, length, content_type)
         self._events.enqueue(ResponseStarted(request.id, attempt.number, attempt.endpoint_id))
         return request.client
--- a/gateway/network/clients/open_request.py
+++ b/gateway/network/clients/open_request.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -70,6 +71,8 @@
     opened_at_ms: float = 0.0  # clock time at which the request was opened
     attempt_count: int = 0  # attempts started so far
     streaming_attempt: int | None = None  # number of the attempt whose response is being forwarded
+    # Aborts the response that is being forwarded if it is short; None otherwise.
+    abort_forwarding: Callable[[], None] | None = None
     guard_timer: Timer | None = None  # sends a response before the deadline if the controller does not
     deadline_at_ms: float = math.inf  # clock time of the client's deadline; infinite while none runs
 
--- a/gateway/network/request_table.py
+++ b/gateway/network/request_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import math
 from collections.abc import Callable
 from http import HTTPStatus
@@ -125,31 +126,34 @@
         return min(sent_at_ms + request.wait_ms, shutdown_at_ms)
 
     def start_guard_timer(self, request: OpenRequest, deadline_at_ms: float) -> None:
-        """Start the timer that responds with 504 shortly before the deadline if the request is still open.
+        """Start the timer that ends the request by its deadline if the controller does not.
 
-        It replaces an earlier guard timer of the request. A response that is being forwarded needs none.
+        It replaces an earlier guard timer of the request; see `restart_guard_timer`.
         """
-        self.stop_guard_timer(request)
-        if request.streaming_attempt is not None:
-            return
         request.deadline_at_ms = deadline_at_ms
-        request.guard_timer = self._timers.call_at(
-            deadline_at_ms - GUARD_MARGIN_MS, lambda: self._on_guard_expired(request)
-        )
+        self.restart_guard_timer(request)
 
     def stop_guard_timer(self, request: OpenRequest) -> None:
-        """Stop the guard timer of a request, if there is one."""
-        if request.guard_timer is not None:
-            request.guard_timer.cancel()
-            request.guard_timer = None
+        """Stop the guard timer of a request, because its deadline does not run any more."""
+        request.deadline_at_ms = math.inf
+        self.restart_guard_timer(request)
 
-    def limit_forwarding(self, request: OpenRequest, abort: Callable[[], None]) -> None:
-        """Call `abort` when a response that is being forwarded would end too late after the deadline.
+    def restart_guard_timer(self, request: OpenRequest) -> None:
+        """Set the guard timer by the deadline and by how far the response is; without a deadline, set none.
 
-        Replaces the guard timer; to be called for a response whose time is that of its last byte.
+        A request without a response gets 504 shortly before its deadline. A short response that is being
+        forwarded is aborted MAX_RESPONSE_DELAY_MS after it, and a long one has no guard timer.
         """
-        self.stop_guard_timer(request)
-        request.guard_timer = self._timers.call_at(request.deadline_at_ms + MAX_RESPONSE_DELAY_MS, abort)
+        if request.guard_timer is not None:
+            request.guard_timer.cancel()
+            request.guard_timer = None
+        at_ms = request.deadline_at_ms - GUARD_MARGIN_MS
+        callback: Callable[[], None] | None = functools.partial(self._on_guard_expired, request)
+        if request.streaming_attempt is not None:
+            at_ms = request.deadline_at_ms + MAX_RESPONSE_DELAY_MS
+            callback = request.abort_forwarding
+        if callback is not None and at_ms < math.inf:
+            request.guard_timer = self._timers.call_at(at_ms, callback)
 
     def begin_shutdown(self, end_ms: float) -> None:
         """Limit the deadlines of requests that are received from now on to the clock time `end_ms`."""
--- a/tests/network/test_scarce_memory.py
+++ b/tests/network/test_scarce_memory.py
@@ -208,3 +208,27 @@
     await wait_until(lambda: connection.is_closing)
     assert not [event for event in controller.events if isinstance(event, RequestArrived)]
     assert not gateway.requests.open_requests
+
+
+@pytest.mark.parametrize("is_held_up_before", [False, True])
+async def test_short_response_to_an_incomplete_body_is_limited_from_the_end_of_the_body(
+    is_held_up_before, endpoint, gateway, client
+):
+    """Guards against a limit that is missing or counts from an earlier pause if the response is first."""
+    gateway.memory.capacity_bytes = SCARCE_BYTES
+    request = http_request(path="/debit", body=bytes(BODY_BYTES), deadline=300)
+    client.send(request[:-1])
+    _, _, writer = await endpoint.next_request_head()
+    (open_request,) = gateway.requests.open_requests.values()
+    if is_held_up_before:
+        gateway.frontend.on_request_held_up(open_request, gateway.clock.now())
+        gateway.frontend.on_request_flowing(open_request)
+    writer.write(http_response(body=bytes(RESPONSE_BYTES))[: RESPONSE_BYTES // 2])
+    await client.reader.readuntil(b"\r\n\r\n")
+    await asyncio.sleep(0.9)  # longer than the client's time and the allowed delay together
+    assert gateway.requests.open_requests
+    client.send(request[-1:])
+    started_s = asyncio.get_running_loop().time()
+    with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+        await client.reader.readexactly(RESPONSE_BYTES)
+    assert 0.5 < asyncio.get_running_loop().time() - started_s < 0.9
