--- a/review/7/case.py
+++ b/review/7/case.py
@@ -21,11 +21,11 @@
 LEAVING_CLIENTS = 20
 ROUNDS = 15
 PAUSE_S = 2.5  # after each burst
-FULL_S = 0.3  # time for which the endpoints turn requests away
+FULL_S = 0.03  # from the requests: attempts that arrive until then are turned away, later ones are served
 TURN_AWAY_S = 0.03  # time after which a full endpoint turns a request away
 HOLD_AT_S = 0.015  # from the requests to the begin of the hold-up
 HOLD_S = 0.14  # the pages allow 0.15 s
-LEAVE_S = (0.06, 0.13)  # from the requests to the clients' leaving
+LEAVE_S = (0.09, 0.13)  # from the requests to the clients' leaving; without a hold-up all have been answered
 CHECK_REQUESTS = 40
 CHECK_INTERVAL_S = 0.125
 
