Leave the sockets of handed-over connections as they are

The predecessor sets it: Successor.hand_over closed its descriptor by abort(), which discards what the client has not acknowledged by SO_LINGER, and the option belongs to the socket that the successor uses from then on. Each plain close by the successor then discards the end of its responses.

The predecessor now closes its descriptor only. The successor resets the option when it takes a connection over and again before it closes it, because a predecessor of an earlier version sets it after it has sent the socket. The other things that one process does to a socket of both were read: the listening socket is not shut down, and pausing the reading and the close concern the process alone.

--- a/gateway/network/clients/connection.py
+++ b/gateway/network/clients/connection.py
@@ -36,7 +36,7 @@
 from gateway.network.memory_budget import NARROW_READ_BYTES, WIDE_READ_BYTES, WINDOW_BYTES
 from gateway.network.output_backlog import OutputBacklog
 from gateway.network.shared_read_buffer import SharedBufferProtocol
-from gateway.network.socket_buffers import abort_and_discard, output_bytes
+from gateway.network.socket_buffers import abort_and_discard, deliver_after_close, output_bytes
 
 # Maximum number of bytes that the process and the kernel hold of a response, until the client acknowledges
 # them, before the gateway stops reading it from the endpoint. Reading continues once enough are acknowledged.
@@ -115,6 +115,7 @@
             self._set_response_paused,
             MAX_RESPONSE_BACKLOG_BYTES,
         )
+        self._deliver_output_after_close()
         self._handler.on_client_connected(self)
 
     def pause_writing(self) -> None:
@@ -182,6 +183,7 @@
         self._cancel_request()
         if self.state is not _CLOSING:
             self._enter_closing()
+        self._deliver_output_after_close()
         return bool(self._unread_output_bytes()) and not self._handler.is_draining
 
     def connection_lost(self, _error: Exception | None) -> None:
@@ -564,10 +566,24 @@
         """
         self.state = _CLOSING
         if self._handler.is_draining:
+            self._deliver_output_after_close()
             self.transport.abort()
         else:
             abort_and_discard(self.transport)
 
+    def close_descriptor(self) -> None:
+        """Close this process's descriptor of a connection that another process has taken over.
+
+        The options and the state of the socket stay as they are, because the other process uses them.
+        """
+        self.state = _CLOSING
+        self.transport.abort()
+
+    def _deliver_output_after_close(self) -> None:
+        """Undo what an earlier version of the predecessor may do to a socket after it has handed it over."""
+        if self.is_transferred:
+            deliver_after_close(self.transport)
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request on it is open, being received or unread in the socket.
 
@@ -621,6 +637,7 @@
             self._finish_and_linger(b"")
             return
         self._enter_closing()
+        self._deliver_output_after_close()
         self.transport.close()
 
     def _enter_closing(self) -> None:
--- a/gateway/network/clients/connection_limiter.py
+++ b/gateway/network/clients/connection_limiter.py
@@ -140,6 +140,9 @@
     def abort(self) -> None:
         """Close the connection at once, and discard all output that the client has not read."""
 
+    def close_descriptor(self) -> None:
+        """Close this process's descriptor of a connection that another process has taken over."""
+
 
 # Maps each connection to the time, in milliseconds, at which it entered the table. The time of a closing
 # connection on which input still arrives is extended by LINGER_TIMEOUT_MS at a time.
--- a/gateway/network/hot_restart/predecessor.py
+++ b/gateway/network/hot_restart/predecessor.py
@@ -202,7 +202,7 @@
         self._link.send_gossip(sender, data)
 
     def hand_over(self, client: LimitedConnection) -> None:
-        """Send the client's idle connection to the successor, and close it in this process.
+        """Send the client's idle connection to the successor, and close this process's descriptor of it.
 
         This process stops reading from the connection first. Bytes that the client sends from now on stay in
         the receive buffer of the socket until the successor reads them.
@@ -213,7 +213,7 @@
         transport.pause_reading()
         descriptor = os.dup(transport.get_extra_info("socket").fileno())
         self._link.send(Packet(PacketType.CONNECTION, descriptors=[descriptor]))
-        client.abort()
+        client.close_descriptor()
         self._gateway.connections.remove(client)
 
 
--- a/gateway/network/socket_buffers.py
+++ b/gateway/network/socket_buffers.py
@@ -25,6 +25,9 @@
 # Value of SO_LINGER with which a close discards the bytes that the peer has not acknowledged.
 DISCARD_ON_CLOSE = struct.pack("ii", 1, 0)
 
+# Value of SO_LINGER with which the kernel delivers these bytes after a close; a new socket has it.
+DELIVER_AFTER_CLOSE = struct.pack("ii", 0, 0)
+
 # Factor by which the kernel enlarges the requested size of a buffer, for its own data.
 KERNEL_SIZE_FACTOR = 2
 
@@ -127,7 +130,8 @@
 def abort_and_discard(transport: asyncio.Transport) -> None:
     """Close a connection at once, and discard its output in the process and in the kernel.
 
-    Otherwise the kernel keeps the output of a closed socket until the peer has read it, for minutes.
+    Otherwise the kernel keeps the output of a closed socket until the peer has read it, for minutes. No other
+    process may use the socket, because the option that discards the output belongs to the socket.
     """
     sock = transport.get_extra_info("socket")
     if sock is not None and unacknowledged_bytes(transport):
@@ -135,6 +139,16 @@
     transport.abort()
 
 
+def deliver_after_close(transport: asyncio.Transport) -> None:
+    """Have the kernel deliver what it holds of the output after a close of the connection.
+
+    This is needed for a socket that another process has used, which may have set it to discard its output.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        _set_option(sock, socket.SOL_SOCKET, socket.SO_LINGER, DELIVER_AFTER_CLOSE)
+
+
 def _set_option(sock: _Socket, level: int, option: int, value: int | bytes) -> None:
     try:
         sock.setsockopt(level, option, value)
