Let a draining process wait for clients that still read their responses

A process that shuts down closed a connection as soon as its last response was written, and aborted it 1 s later, whether or not its client was reading: what the process itself still held of the response was lost.

A connection with unread output is now closed in the same way in every phase: the sending side is shut down, and the connection stays until the client has read everything, has read nothing for 2.5 s, or has taken 30 s. Before, the first of these limits was 1 s outside of draining, and a pause of the client that fell between two checks ended it.

--- a/gateway/network/clients/connection.py
+++ b/gateway/network/clients/connection.py
@@ -16,6 +16,7 @@
 from gateway.network.clients.connection_memory import ConnectionMemory
 from gateway.network.clients.connection_state import ConnectionState
 from gateway.network.clients.open_request import OpenRequest
+from gateway.network.clients.output_progress import OutputProgress
 from gateway.network.clients.received_request import ReceivedRequest
 from gateway.network.clients.rejection_pause import RejectionPause
 from gateway.network.clients.request_events import (
@@ -87,7 +88,7 @@
         # cleared this flag.
         self.received_while_closing = False
         self.closing_since_ms = 0.0
-        self._output_bytes_at_check = 0  # output that was not acknowledged at the limiter's last check
+        self._output_progress = OutputProgress()
         self._handler = handler
         self._writer = ResponseWriter()
         self._rejection_pause = RejectionPause(handler)
@@ -184,7 +185,7 @@
         if self.state is not _CLOSING:
             self._enter_closing()
         self._deliver_output_after_close()
-        return bool(self._unread_output_bytes()) and not self._handler.is_draining
+        return bool(self._unread_output_bytes())
 
     def connection_lost(self, _error: Exception | None) -> None:
         """Release the reader, and deregister the connection and its open request from the handler."""
@@ -549,11 +550,14 @@
         if self.memory.window.size and self.request is None and not self._unread_output_bytes():
             self.memory.window.release()
 
-    def has_read_output(self) -> bool:
-        """Return whether the client has read a part of the output, but not all of it, since the last call."""
-        before_bytes = self._output_bytes_at_check
-        self._output_bytes_at_check = self._unread_output_bytes()
-        return 0 < self._output_bytes_at_check < before_bytes
+    def is_output_being_read(self, now_ms: float, stall_timeout_ms: float, total_timeout_ms: float) -> bool:
+        """Return whether the client still has output to read and has not exceeded a limit for reading it.
+
+        The limits are those of `OutputProgress.is_being_read`. The stall timeout counts from the last call at
+        which the output had changed, so this method has to be called more often.
+        """
+        self._output_progress.update(self._unread_output_bytes(), now_ms)
+        return self._output_progress.is_being_read(now_ms, stall_timeout_ms, total_timeout_ms)
 
     def _unread_output_bytes(self) -> int:
         """Return the output that the client has not acknowledged, in the process and in the kernel."""
@@ -628,12 +632,11 @@
     def _close(self) -> None:
         """Close the connection once the client has acknowledged all output.
 
-        The connection limiter aborts it if the client does not read the output in time. While the gateway
-        drains, the kernel delivers what it holds, after the end of the process as well.
+        The connection limiter aborts it if the client does not read the output in time.
         """
         if self.transport.is_closing():
             return
-        if self._unread_output_bytes() and not self._handler.is_draining:
+        if self._unread_output_bytes():
             self._finish_and_linger(b"")
             return
         self._enter_closing()
@@ -645,9 +648,10 @@
         self.reads_widely = True
         self.reader.discard_request()
         self.received_while_closing = False
-        self._output_bytes_at_check = self._unread_output_bytes()
-        self.memory.window.shrink(self._output_bytes_at_check)
+        unread_bytes = self._unread_output_bytes()
+        self.memory.window.shrink(unread_bytes)
         self.closing_since_ms = self._handler.clock.now()
+        self._output_progress.update(unread_bytes, self.closing_since_ms)
         self._handler.connections.on_closing(self, self.closing_since_ms)
 
     # -- the limiter's queries
--- a/gateway/network/clients/connection_limiter.py
+++ b/gateway/network/clients/connection_limiter.py
@@ -75,6 +75,9 @@
 # Milliseconds after which a connection that the gateway is closing is aborted even if input still arrives.
 MAX_LINGER_MS = 5000.0
 
+# Milliseconds for which a client may read nothing of the output of a connection that the gateway is closing.
+OUTPUT_STALL_TIMEOUT_MS = 2500.0
+
 # Milliseconds after which a connection that the gateway is closing is aborted even if its client still reads
 # the output.
 MAX_OUTPUT_LINGER_MS = 30_000.0
@@ -134,8 +137,8 @@
     def release_unused_memory(self) -> None:
         """Return the memory of the last response, once the client has acknowledged all of it."""
 
-    def has_read_output(self) -> bool:
-        """Return whether the client has read a part of the output, but not all of it, since the last call."""
+    def is_output_being_read(self, now_ms: float, stall_timeout_ms: float, total_timeout_ms: float) -> bool:
+        """Return whether the client still has output to read and has not exceeded a limit for reading it."""
 
     def abort(self) -> None:
         """Close the connection at once, and discard all output that the client has not read."""
@@ -331,16 +334,18 @@
             self._record_if_closing(client, CloseReason.IDLE)
 
     def _abort_expired_closing(self, now_ms: float, is_draining: bool) -> None:
-        """Abort closing connections after the linger timeout, which their clients' activity extends.
+        """Abort closing connections after the linger timeout, unless their clients still use them.
 
-        Input extends the timeout up to MAX_LINGER_MS in total, and the reading of output up to
-        MAX_OUTPUT_LINGER_MS. Nothing extends it while the gateway drains.
+        A client may read the output for MAX_OUTPUT_LINGER_MS, if it never pauses for OUTPUT_STALL_TIMEOUT_MS.
+        Input extends the linger timeout up to MAX_LINGER_MS in total, but not while the gateway drains.
         """
-        for client in _in_table_longer_than(self._closing, now_ms, LINGER_TIMEOUT_MS):
+        for client in _in_table_longer_than(self._closing, now_ms, 0.0):
+            if client.is_output_being_read(now_ms, OUTPUT_STALL_TIMEOUT_MS, MAX_OUTPUT_LINGER_MS):
+                continue
+            if now_ms - self._closing[client] <= LINGER_TIMEOUT_MS:
+                continue
             closing_ms = now_ms - client.closing_since_ms
-            is_sending = client.received_while_closing and closing_ms < MAX_LINGER_MS
-            is_reading = client.has_read_output() and closing_ms < MAX_OUTPUT_LINGER_MS
-            if (is_sending or is_reading) and not is_draining:
+            if client.received_while_closing and closing_ms < MAX_LINGER_MS and not is_draining:
                 client.received_while_closing = False
                 self._closing[client] = self._closing.pop(client) + LINGER_TIMEOUT_MS
             else:
