Deliver earlier responses to a client that has shut down its sending side

Two checks find a client that has left while the event loop does not read from it: before an attempt is sent, and during an upload. Both aborted the connection and discarded what the client had not read yet of its earlier response, although a client that has shut down its sending side only may still read it; the same end of input, when the event loop reports it, lets the client read on.

Both checks now close the connection in that way. Found by reading all closes with unacknowledged output; the two new tests failed before and pass.

--- a/gateway/network/attempt_runner.py
+++ b/gateway/network/attempt_runner.py
@@ -47,7 +47,7 @@
             self._report_not_sent(action, 0)
         elif request.client.is_disconnected():
             self._requests.on_client_disconnected(request)
-            request.client.abort()
+            request.client.close_disconnected()
             self._report_not_sent(action, request.attempt_count)
         else:
             self._start_attempt(request, action)
--- a/gateway/network/clients/connection.py
+++ b/gateway/network/clients/connection.py
@@ -588,6 +588,15 @@
         if self.is_transferred:
             deliver_after_close(self.transport)
 
+    def close_disconnected(self) -> None:
+        """Close the connection of a client that has shut down its sending side.
+
+        Like `eof_received`, for an end of the input that the event loop has not reported. The client may
+        still read its earlier responses.
+        """
+        self._cancel_request()
+        self._close()
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request on it is open, being received or unread in the socket.
 
--- a/gateway/network/clients/open_request.py
+++ b/gateway/network/clients/open_request.py
@@ -52,8 +52,8 @@
     def is_disconnected(self) -> bool:
         """Return whether the client has shut down its sending side."""
 
-    def abort(self) -> None:
-        """Close the connection at once, and discard bytes that have not been written to the socket."""
+    def close_disconnected(self) -> None:
+        """Close the connection, whose client has shut down its sending side, once it has read all output."""
 
 
 @dataclass(slots=True, eq=False)
--- a/gateway/network/request_table.py
+++ b/gateway/network/request_table.py
@@ -282,7 +282,7 @@
         uploading = [request.client for request in self.open_requests.values() if request.upload is not None]
         for client in uploading:
             if client.is_disconnected():
-                client.abort()
+                client.close_disconnected()
 
 
 def _framing_field(received: ReceivedRequest) -> bytes | None:
--- a/tests/network/test_unread_responses.py
+++ b/tests/network/test_unread_responses.py
@@ -1,6 +1,7 @@
 """Tests that no close by the gateway cuts off a response that its client still reads."""
 
 import asyncio
+import socket
 
 import pytest
 from support.gateway_steps import wait_until_connected
@@ -8,7 +9,10 @@
 from support.polling import wait_until
 from support.slow_reader import SlowReader
 
+from gateway.interface.actions import SendAttempt
+from gateway.interface.events import AttemptEnded, AttemptResult, ClientDisconnected, RequestArrived
 from gateway.network.clients.connection_limiter import LINGER_TIMEOUT_MS
+from gateway.network.clients.upload import MAX_BUFFERED_BYTES
 from gateway.network.memory_limits import SEND_BUFFER_BYTES
 from gateway.network.socket_buffers import SocketBuffers, limit_buffers
 from gateway.network.upstream import exchange
@@ -72,3 +76,29 @@
     await leave_response_unread(reader, endpoint, gateway)
     async with asyncio.timeout(5.0):
         await drain(gateway)
+
+
+@pytest.mark.parametrize("body", [b"", bytes(2 * MAX_BUFFERED_BYTES)], ids=["complete", "in the upload"])
+async def test_earlier_response_reaches_a_client_that_leaves_with_its_next_request(
+    body, endpoint, controller, gateway, reader
+):
+    """Guards against a response that is discarded because its client has shut down its sending side."""
+    await leave_response_unread(reader, endpoint, gateway)
+    controller.endpoint = None
+    await controller.next_event(RequestArrived)
+    await controller.next_event(AttemptEnded)
+    (connection,) = gateway.connections.open_connections
+    request = http_request(path="/debit", body=body) if body else http_request()
+    reader.send(request[: 1_000 + MAX_BUFFERED_BYTES])
+    arrival = await controller.next_event(RequestArrived)
+    connection.transport.pause_reading()  # the event loop does not report the end of the input
+    reader.sock.shutdown(socket.SHUT_WR)
+    await asyncio.sleep(0.05)
+    if body:
+        gateway.requests.close_disconnected_uploads()
+    else:
+        gateway.send_attempt(SendAttempt(arrival.id, "w1", 9000.0))
+        assert (await controller.next_event(AttemptEnded)).result is AttemptResult.NOT_SENT
+    assert (await controller.next_event(ClientDisconnected)).id == arrival.id
+    assert (await reader.read(len(BODY) + 1_000)).endswith(BODY)
+    await wait_until(lambda: not len(gateway.connections))
