Move the output of a client connection into a module of its own

ClientOutput has the backlog, what the client has read, and the four ways in which the output ends with the connection.

--- /dev/null
+++ b/gateway/network/clients/client_output.py
@@ -0,0 +1,111 @@
+"""The output of one client connection: its backlog, what its client has read of it, and its end."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from gateway.network.clients.output_progress import OutputProgress
+from gateway.network.clock import Clock, Timers
+from gateway.network.memory_budget import NARROW_READ_BYTES, WIDE_READ_BYTES
+from gateway.network.output_backlog import OutputBacklog
+from gateway.network.socket_buffers import abort_and_discard, deliver_after_close, output_bytes
+
+# Maximum number of bytes that the process and the kernel hold of a response, until the client acknowledges
+# them, before the gateway stops reading it from the endpoint. Reading continues once enough are acknowledged.
+MAX_RESPONSE_BACKLOG_BYTES = WIDE_READ_BYTES
+
+# The same maximum for a response that has only the smallest window.
+MIN_RESPONSE_BACKLOG_BYTES = NARROW_READ_BYTES
+
+
+class ClientOutput:
+    """The bytes that have been written to a client and that it has not acknowledged yet."""
+
+    __slots__ = ("_is_transferred", "_progress", "_transport", "backlog")
+
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        clock: Clock,
+        timers: Timers,
+        on_backlog_changed: Callable[[bool], None],
+        *,
+        is_transferred: bool,
+    ) -> None:
+        """Start without output.
+
+        Args:
+            transport: The transport of the connection.
+            clock: The clock of the timers.
+            timers: Schedule the checks of the backlog.
+            on_backlog_changed: Called with True when the source of a response has to pause, and with False
+                when it may go on.
+            is_transferred: Whether the predecessor has handed the connection over.
+        """
+        self._transport = transport
+        self._is_transferred = is_transferred
+        self._progress = OutputProgress()
+        self.backlog = OutputBacklog(transport, clock, timers, on_backlog_changed, MAX_RESPONSE_BACKLOG_BYTES)
+        self.limit_backlog(MAX_RESPONSE_BACKLOG_BYTES)
+        self._deliver_after_close()
+
+    def limit_backlog(self, limit_bytes: int) -> None:
+        """Set the number of bytes above which the source of a response has to pause."""
+        self._transport.set_write_buffer_limits(high=limit_bytes)
+        self.backlog.limit_bytes = limit_bytes
+
+    def unread_bytes(self) -> int:
+        """Return the output that the client has not acknowledged, in the process and in the kernel."""
+        return output_bytes(self._transport)
+
+    def update_progress(self, now_ms: float) -> int:
+        """Record what the client has read up to now, and return the bytes that it has not acknowledged."""
+        unread_bytes = self.unread_bytes()
+        self._progress.update(unread_bytes, now_ms)
+        return unread_bytes
+
+    def is_being_read(self, now_ms: float, stall_timeout_ms: float, total_timeout_ms: float) -> bool:
+        """Return whether the client still has output to read and has not exceeded a limit for reading it.
+
+        The limits are those of `OutputProgress.is_being_read`. The stall timeout counts from the last call at
+        which the output had changed, so this method has to be called more often.
+        """
+        self.update_progress(now_ms)
+        return self._progress.is_being_read(now_ms, stall_timeout_ms, total_timeout_ms)
+
+    def close(self) -> None:
+        """Close the connection once the kernel has accepted all output, and have the kernel deliver it."""
+        self._deliver_after_close()
+        self._transport.close()
+
+    def abort(self, *, discards: bool) -> None:
+        """Close the connection at once, and discard the output in the process.
+
+        The output in the kernel is discarded as well if `discards`; otherwise the kernel delivers it.
+        """
+        if discards:
+            abort_and_discard(self._transport)
+        else:
+            self._deliver_after_close()
+            self._transport.abort()
+
+    def close_descriptor(self) -> None:
+        """Close this process's descriptor of a connection that another process has taken over.
+
+        The options and the state of the socket stay as they are, because the other process uses them.
+        """
+        self._transport.abort()
+
+    def on_client_shut_down(self) -> bool:
+        """Return whether the connection of a client that sends nothing more has to stay open for the output.
+
+        Otherwise the event loop closes it.
+        """
+        self._deliver_after_close()
+        return bool(self.unread_bytes())
+
+    def _deliver_after_close(self) -> None:
+        """Undo what an earlier version of the predecessor may do to a socket after it has handed it over."""
+        if self._is_transferred:
+            deliver_after_close(self._transport)
--- a/gateway/network/clients/connection.py
+++ b/gateway/network/clients/connection.py
@@ -13,10 +13,14 @@
 from gateway.errors import BadRequestError, OverloadedError
 from gateway.network.clients.body_flow import BodyFlow
 from gateway.network.clients.body_progress import BodyProgress
+from gateway.network.clients.client_output import (
+    MAX_RESPONSE_BACKLOG_BYTES,
+    MIN_RESPONSE_BACKLOG_BYTES,
+    ClientOutput,
+)
 from gateway.network.clients.connection_memory import ConnectionMemory
 from gateway.network.clients.connection_state import ConnectionState
 from gateway.network.clients.open_request import OpenRequest
-from gateway.network.clients.output_progress import OutputProgress
 from gateway.network.clients.received_request import ReceivedRequest
 from gateway.network.clients.rejection_pause import RejectionPause
 from gateway.network.clients.request_events import (
@@ -34,17 +38,8 @@
 from gateway.network.clients.response_source import ResponseSource
 from gateway.network.clients.response_writer import CONTINUE, ResponseWriter
 from gateway.network.clients.upload import MAX_BUFFERED_BYTES, Upload
-from gateway.network.memory_budget import NARROW_READ_BYTES, WIDE_READ_BYTES, WINDOW_BYTES
-from gateway.network.output_backlog import OutputBacklog
+from gateway.network.memory_budget import NARROW_READ_BYTES, WINDOW_BYTES
 from gateway.network.shared_read_buffer import SharedBufferProtocol
-from gateway.network.socket_buffers import abort_and_discard, deliver_after_close, output_bytes
-
-# Maximum number of bytes that the process and the kernel hold of a response, until the client acknowledges
-# them, before the gateway stops reading it from the endpoint. Reading continues once enough are acknowledged.
-MAX_RESPONSE_BACKLOG_BYTES = WIDE_READ_BYTES
-
-# The same maximum for a response that has only the smallest window.
-MIN_RESPONSE_BACKLOG_BYTES = NARROW_READ_BYTES
 
 # Bytes of an incomplete request that the memory of its connection covers.
 CONNECTION_HEAD_BYTES = 512
@@ -67,8 +62,8 @@
 class ClientConnection(SharedBufferProtocol):
     """The protocol of a client connection, on which one request at a time is open."""
 
-    transport: asyncio.Transport  # assigned in connection_made, before any other call, like the backlog
-    _backlog: OutputBacklog
+    transport: asyncio.Transport  # assigned in connection_made, before any other call, like the output
+    _output: ClientOutput
 
     def __init__(self, handler: RequestHandler, is_transferred: bool = False) -> None:
         """Start idle and without a transport, which the event loop passes to `connection_made`.
@@ -88,7 +83,6 @@
         # cleared this flag.
         self.received_while_closing = False
         self.closing_since_ms = 0.0
-        self._output_progress = OutputProgress()
         self._handler = handler
         self._writer = ResponseWriter()
         self._rejection_pause = RejectionPause(handler)
@@ -106,26 +100,24 @@
     # -- the transport's callbacks
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Set the write buffer limit, and register the connection with the handler."""
+        """Register the connection with the handler."""
         self.transport = cast(asyncio.Transport, transport)
-        self.transport.set_write_buffer_limits(high=MAX_RESPONSE_BACKLOG_BYTES)
-        self._backlog = OutputBacklog(
+        self._output = ClientOutput(
             self.transport,
             self._handler.clock,
             self._handler.timers,
             self._set_response_paused,
-            MAX_RESPONSE_BACKLOG_BYTES,
+            is_transferred=self.is_transferred,
         )
-        self._deliver_output_after_close()
         self._handler.on_client_connected(self)
 
     def pause_writing(self) -> None:
         """Pause the response being forwarded, because the write buffer is full."""
-        self._backlog.on_transport_full()
+        self._output.backlog.on_transport_full()
 
     def resume_writing(self) -> None:
         """Resume the response being forwarded, because the write buffer has emptied."""
-        self._backlog.on_transport_writable()
+        self._output.backlog.on_transport_writable()
 
     def _set_response_paused(self, paused: bool) -> None:
         if self.response_source is not None:
@@ -184,15 +176,14 @@
         self._cancel_request()
         if self.state is not _CLOSING:
             self._enter_closing()
-        self._deliver_output_after_close()
-        return bool(self._unread_output_bytes())
+        return self._output.on_client_shut_down()
 
     def connection_lost(self, _error: Exception | None) -> None:
         """Release the reader, and deregister the connection and its open request from the handler."""
         self.state = _CLOSING
         self.reader.close()
         self._flow.close()
-        self._backlog.close()
+        self._output.backlog.close()
         self.memory.release()
         request = self.request
         self.request = None
@@ -287,7 +278,7 @@
         waits_since_ms = self._rejection_pause.take_start_ms()
         if waits_since_ms is not None:
             self._flow.hold_up(waits_since_ms)
-        if self._unread_output_bytes() > MAX_RESPONSE_BACKLOG_BYTES:
+        if self._output.unread_bytes() > MAX_RESPONSE_BACKLOG_BYTES:
             self._abort_request(HTTPStatus.BAD_REQUEST)
             return
         self._handler.on_message_started(self)
@@ -401,7 +392,7 @@
         self.request = None
         if self.transport.is_closing():
             return
-        self.memory.window.cover(len(body) + self._unread_output_bytes())
+        self.memory.window.cover(len(body) + self._output.unread_bytes())
         if self.state is _RECEIVING:
             self._send_early_response(status, body, content_type, retry_after_ms)
         else:
@@ -467,13 +458,12 @@
             self.memory.body.cover(WINDOW_BYTES)
         self.has_wide_window = self.memory.try_widen_response()
         limit_bytes = MAX_RESPONSE_BACKLOG_BYTES if self.has_wide_window else MIN_RESPONSE_BACKLOG_BYTES
-        self.transport.set_write_buffer_limits(high=limit_bytes)
-        self._backlog.limit_bytes = limit_bytes
+        self._output.limit_backlog(limit_bytes)
         chunked = length is None and self.reader.supports_chunks
         self._keep_alive = self._keep_alive and (length is not None or chunked)
         head = self._writer.response_head(length, content_type, chunked=chunked, close=self._must_close())
         self.transport.write(head)
-        if self._backlog.is_full:
+        if self._output.backlog.is_full:
             # A full backlog is reported only once: this was during an earlier response.
             source.set_response_paused(paused=True)
 
@@ -481,7 +471,7 @@
         """Write the next part of a forwarded response; requires an earlier call of `start_response`."""
         if not self.transport.is_closing():
             self.transport.write(self._writer.body_part(part))
-            self._backlog.on_written()
+            self._output.backlog.on_written()
 
     def finish_response(self) -> None:
         """Write the end of a forwarded response whose parts have all been written."""
@@ -528,7 +518,7 @@
         self.state = _DISCARDING
         self._upload = None
         self.memory.body.release()
-        self.memory.window.shrink(self._unread_output_bytes())
+        self.memory.window.shrink(self._output.unread_bytes())
         self.reads_widely = True
         self.set_body_paused(False)
 
@@ -547,21 +537,12 @@
 
     def release_unused_memory(self) -> None:
         """Return the memory of the last response, once the client has acknowledged all of it."""
-        if self.memory.window.size and self.request is None and not self._unread_output_bytes():
+        if self.memory.window.size and self.request is None and not self._output.unread_bytes():
             self.memory.window.release()
 
     def is_output_being_read(self, now_ms: float, stall_timeout_ms: float, total_timeout_ms: float) -> bool:
-        """Return whether the client still has output to read and has not exceeded a limit for reading it.
-
-        The limits are those of `OutputProgress.is_being_read`. The stall timeout counts from the last call at
-        which the output had changed, so this method has to be called more often.
-        """
-        self._output_progress.update(self._unread_output_bytes(), now_ms)
-        return self._output_progress.is_being_read(now_ms, stall_timeout_ms, total_timeout_ms)
-
-    def _unread_output_bytes(self) -> int:
-        """Return the output that the client has not acknowledged, in the process and in the kernel."""
-        return output_bytes(self.transport)
+        """Return whether the client still has output to read and has not exceeded a limit for reading it."""
+        return self._output.is_being_read(now_ms, stall_timeout_ms, total_timeout_ms)
 
     def abort(self) -> None:
         """Close the connection at once, and discard all output that the client has not read.
@@ -569,24 +550,12 @@
         While the gateway drains, the kernel delivers what it holds, after the end of the process as well.
         """
         self.state = _CLOSING
-        if self._handler.is_draining:
-            self._deliver_output_after_close()
-            self.transport.abort()
-        else:
-            abort_and_discard(self.transport)
+        self._output.abort(discards=not self._handler.is_draining)
 
     def close_descriptor(self) -> None:
-        """Close this process's descriptor of a connection that another process has taken over.
-
-        The options and the state of the socket stay as they are, because the other process uses them.
-        """
+        """Close this process's descriptor of a connection that another process has taken over."""
         self.state = _CLOSING
-        self.transport.abort()
-
-    def _deliver_output_after_close(self) -> None:
-        """Undo what an earlier version of the predecessor may do to a socket after it has handed it over."""
-        if self.is_transferred:
-            deliver_after_close(self.transport)
+        self._output.close_descriptor()
 
     def close_disconnected(self) -> None:
         """Close the connection of a client that has shut down its sending side.
@@ -645,22 +614,19 @@
         """
         if self.transport.is_closing():
             return
-        if self._unread_output_bytes():
+        if self._output.unread_bytes():
             self._finish_and_linger(b"")
             return
         self._enter_closing()
-        self._deliver_output_after_close()
-        self.transport.close()
+        self._output.close()
 
     def _enter_closing(self) -> None:
         self.state = _CLOSING
         self.reads_widely = True
         self.reader.discard_request()
         self.received_while_closing = False
-        unread_bytes = self._unread_output_bytes()
-        self.memory.window.shrink(unread_bytes)
         self.closing_since_ms = self._handler.clock.now()
-        self._output_progress.update(unread_bytes, self.closing_since_ms)
+        self.memory.window.shrink(self._output.update_progress(self.closing_since_ms))
         self._handler.connections.on_closing(self, self.closing_since_ms)
 
     # -- the limiter's queries
