Number each attempt where it is decided, so that its end is always found

The number of an attempt was counted twice: by the policy when it decides, and by the network code when it sends. For a request that has ended the network code reported attempt 0, whatever the number was. If a refused attempt and its client's end are handled in one turn, the policy starts a retry and then closes the request; the end of attempt 0 was dropped as unknown, and the retry stayed in the table, the concurrency limit and the load of its endpoint for good.

SendAttempt now has the number, and the network code reports it in every case. Results of attempts that were never started are counted in attempts_ended_total. Guarded by tests/network/test_open_counts.py: each pair of events in one turn, and any generated order, leave the counts of the policy equal to what the network code has open: requests, attempts, executing attempts by endpoint and in sum, the queue, admitted requests by customer, and leases.

--- a/gateway/interface/actions.py
+++ b/gateway/interface/actions.py
@@ -14,14 +14,16 @@
 class SendAttempt:
     """Send a request to an endpoint.
 
-    The attempts of a request are numbered from 0 in the order of these actions. If the last byte of the
-    request is not sent before `send_by_ms`, the caller ends the attempt with the result NOT_SENT.
+    The attempts of a request are numbered from 0 in the order of these actions. Each attempt ends with
+    exactly one `AttemptEnded` with its number, even if the request has ended before the attempt is sent. If
+    the last byte of the request is not sent before `send_by_ms`, the result is NOT_SENT.
     """
 
     id: int
     endpoint: str
     timeout_ms: float
     send_by_ms: float = math.inf
+    attempt: int = 0  # number of the attempt
 
 
 @dataclass(frozen=True, slots=True)
--- a/gateway/network/attempt_runner.py
+++ b/gateway/network/attempt_runner.py
@@ -44,11 +44,11 @@
         """
         request = self._requests.open_requests.get(action.id)
         if request is None:
-            self._report_not_sent(action, 0)
+            self._report_not_sent(action)
         elif request.client.is_disconnected():
             self._requests.on_client_disconnected(request)
             request.client.close_disconnected()
-            self._report_not_sent(action, request.attempt_count)
+            self._report_not_sent(action)
         else:
             self._start_attempt(request, action)
 
@@ -82,7 +82,7 @@
         timeout_ms = action.timeout_ms if upload is None or upload.is_complete else request.wait_ms
         attempt = UpstreamAttempt(
             request.id,
-            request.attempt_count,
+            action.attempt,
             action.endpoint,
             request.attempt_head(timeout_ms),
             request.body,
@@ -90,14 +90,15 @@
             self,
             action.send_by_ms,
         )
-        request.attempt_count += 1
+        request.attempt_count = action.attempt + 1
         self._attempts.add(attempt)
         self._upstreams.start_attempt(attempt, action.timeout_ms)
 
-    def _report_not_sent(self, action: SendAttempt, attempt_number: int) -> None:
-        self._events.enqueue(
-            AttemptEnded(action.id, attempt_number, action.endpoint, 0.0, AttemptResult.NOT_SENT, True)
-        )
+    def _report_not_sent(self, action: SendAttempt) -> None:
+        """Report the end of an attempt that is not started, because its request has ended."""
+        result = AttemptResult.NOT_SENT
+        self._requests.log.on_attempt_ended(None, action.attempt, action.endpoint, result)
+        self._events.enqueue(AttemptEnded(action.id, action.attempt, action.endpoint, 0.0, result, True))
 
     # -- notifications from attempts (`AttemptObserver`)
 
--- a/gateway/policy/controller.py
+++ b/gateway/policy/controller.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from gateway.gossip.codec import REPLY_KINDS, QuotaEntry, decode, encode
 from gateway.interface import events
 from gateway.interface.actions import Action, SendGossip, SetTimer, SubscribeEndpoints
@@ -27,6 +29,15 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class HeldCounts:
+    """What the policy counts as open; the network code has the same number of each."""
+
+    requests: int  # that have no final answer
+    attempts: int  # in flight, including those of requests that have ended
+    executing_attempts: int  # that count toward the concurrency limit
+
+
 class Controller:
     """Decides which actions one gateway takes in response to events.
 
@@ -85,6 +96,11 @@
         """Return the number of customers for which this gateway keeps an account or a leader's bucket."""
         return len(self.flow.lease_client.accounts.by_key) + len(self.flow.leader.buckets)
 
+    def held_counts(self) -> HeldCounts:
+        """Return the requests and attempts that the policy counts as open at present."""
+        attempts = self.flow.attempts
+        return HeldCounts(len(self.flow.open_requests), len(attempts.table), attempts.limiter.in_flight.value)
+
     def _start_turn(self, now_ms: float) -> None:
         turn = self.context.turn
         timers = self.context.timers
--- a/gateway/policy/requests/attempt_table.py
+++ b/gateway/policy/requests/attempt_table.py
@@ -37,6 +37,10 @@
         """Return whether the attempt with this key is in flight."""
         return key in self._records
 
+    def __len__(self) -> int:
+        """Return the number of attempts in flight."""
+        return len(self._records)
+
     def __iter__(self) -> Iterator[AttemptRecord]:
         """Iterate over the attempts in the order in which they were sent."""
         return iter(self._records.values())
--- a/gateway/policy/requests/attempts.py
+++ b/gateway/policy/requests/attempts.py
@@ -52,8 +52,10 @@
             self.retry_budget = min(MAX_RETRY_BUDGET, self.retry_budget + RETRIES_PER_REQUEST)
         timeout_ms = max(MIN_ATTEMPT_TIMEOUT_MS, request.arrival.deadline_at_ms - self._turn.now_ms)
         send_by_ms = self.resend_deadline_at_ms(request)
-        self._add_action(SendAttempt(request.id, endpoint.entry.id, timeout_ms, send_by_ms))
         key = self.table.add(request, endpoint, self._turn.now_ms)
+        self._add_action(
+            SendAttempt(request.id, endpoint.entry.id, timeout_ms, send_by_ms, key.attempt_number)
+        )
         self.selector.recent_sends += 1
         self.limiter.add_in_flight(1)
         self.set_executing(key, request.is_complete)
--- a/tests/network/admin/test_diagnostics.py
+++ b/tests/network/admin/test_diagnostics.py
@@ -38,6 +38,8 @@
     assert metrics['ends_total{reason="rejected"}'] == 1
     assert metrics['held{what="request_ids"}'] == 1
     assert metrics['held{what="client_connections"}'] == 1
+    for what in ("open_requests", "attempts", "policy_open_requests", "policy_attempts"):
+        assert metrics[f'held{{what="{what}"}}'] == 0
     (line,) = [record.getMessage() for record in caplog.records]
     assert line.startswith("request the-id (class look) ended: rejected, status 503, after ")
 
--- a/tests/network/test_gateway.py
+++ b/tests/network/test_gateway.py
@@ -38,7 +38,7 @@
     client.send(http_request())
     _, first = await endpoint.next_request()
     arrival = await controller.next_event(RequestArrived)
-    controller.pending_actions = [SendAttempt(arrival.id, "w1", 9000.0)]
+    controller.pending_actions = [SendAttempt(arrival.id, "w1", 9000.0, attempt=1)]
     gateway.controller_loop.enqueue(TimerFired("hedge"))
     _, second = await endpoint.next_request()
     second.write(http_response(body=b"second"))
--- /dev/null
+++ b/tests/network/test_open_counts.py
@@ -0,0 +1,103 @@
+"""Tests that the policy counts the same requests and attempts as open as the network code has."""
+
+import itertools
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from support.open_work import ENDPOINT_COUNT, OpenWork
+
+from gateway.interface.events import AttemptResult, EndpointState
+
+INDEX = st.integers(0, 7)
+STATES = [[state] * ENDPOINT_COUNT for state in EndpointState]
+
+# One argument tuple for each step is enough for the pairs, in which there is one request with one attempt.
+STEPS = {
+    "arrive": (0, 0),
+    "complete": (0,),
+    "release_body": (0,),
+    "leave": (0,),
+    "leave_unread": (0,),
+    "begin_response": (0,),
+    "forward": (0,),
+    "retire": (),
+    "resume": (),
+}
+STEP_LIST = [
+    *[(name, arguments, {}) for name, arguments in STEPS.items()],
+    *[("end_attempt", (0, result), {}) for result in AttemptResult],
+    *[("update_endpoints", (states,), {}) for states in STATES],
+    ("arrive", (1, 1), {"is_complete": False}),
+    ("set_pool", (), {"is_unsent": True}),
+]
+
+
+def step_id(step):
+    name, arguments, _ = step
+    return "-".join([name, *(str(argument) for argument in arguments[1:])])
+
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+@pytest.mark.parametrize("is_complete", [True, False])
+@pytest.mark.parametrize("first", STEP_LIST, ids=step_id)
+def test_any_two_events_of_one_turn_leave_equal_counts(first, is_complete, may_cancel):
+    """Guards against attempts that the policy counts for good, until it starts no further ones."""
+    for second, third in itertools.product(STEP_LIST, (None, ("leave", (0,), {}))):
+        work = OpenWork(may_cancel=may_cancel)
+        work.arrive(0, 0, is_complete=is_complete)
+        work.turn()
+        for name, arguments, options in (step for step in (first, second, third) if step):
+            getattr(work, name)(*arguments, **options)
+        work.turn()
+        work.check_counts()
+        work.settle()
+        work.check_counts()
+        assert not work.requests.open_requests and not work.attempts.in_flight
+
+
+def steps():
+    """Return a strategy of the steps that a test takes in one turn or in several."""
+    choices = [
+        st.tuples(
+            st.just("arrive"), st.tuples(INDEX, INDEX), st.fixed_dictionaries({"is_complete": st.booleans()})
+        ),
+        *[
+            st.tuples(st.just(name), st.tuples(INDEX), st.just({}))
+            for name in ("complete", "release_body", "leave", "leave_unread", "begin_response", "forward")
+        ],
+        st.tuples(st.just("end_attempt"), st.tuples(INDEX, st.sampled_from(AttemptResult)), st.just({})),
+        st.tuples(
+            st.just("update_endpoints"),
+            st.tuples(st.lists(st.sampled_from(EndpointState), max_size=ENDPOINT_COUNT)),
+            st.just({}),
+        ),
+        st.tuples(st.sampled_from(["retire", "resume"]), st.just(()), st.just({})),
+        st.tuples(st.just("set_pool"), st.just(()), st.fixed_dictionaries({"is_unsent": st.booleans()})),
+        st.tuples(st.just("advance"), st.tuples(st.sampled_from([1.0, 40.0, 300.0, 2500.0])), st.just({})),
+        st.tuples(st.just("turn"), st.just(()), st.just({})),
+    ]
+    return st.lists(st.one_of(choices), max_size=40)
+
+
+def play(script, **changes):
+    """Take the steps, and check the counts after each turn and at the end."""
+    work = OpenWork(**changes)
+    work.turn()
+    for name, arguments, options in script:
+        if name == "advance":
+            work.loop.advance(*arguments)
+        else:
+            getattr(work, name)(*arguments, **options)
+        if name == "turn":
+            work.check_counts()
+    work.settle()
+    work.check_counts()
+    assert not work.requests.open_requests and not work.attempts.in_flight
+    assert work.controller.held_counts().executing_attempts == 0
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(steps(), st.booleans(), st.booleans())
+def test_counts_are_equal_after_any_order_of_events(script, may_cancel, may_hedge):
+    play(script, may_cancel=may_cancel, may_hedge=may_hedge)
--- a/tests/network/test_streamed_bodies.py
+++ b/tests/network/test_streamed_bodies.py
@@ -143,7 +143,7 @@
     arrival = await controller.next_event(RequestArrived)
     await controller.next_event(BodyReleased)
     await endpoint.next_request_head()
-    controller.pending_actions = [SendAttempt(arrival.id, "w1", 9000.0)]
+    controller.pending_actions = [SendAttempt(arrival.id, "w1", 9000.0, attempt=1)]
     gateway.controller_loop.enqueue(TimerFired("hedge"))
     outcome = await controller.next_event(AttemptEnded)
     assert (outcome.attempt, outcome.result) == (1, AttemptResult.NOT_SENT) and endpoint.accepted.empty()
--- a/tests/network/upstream/test_attempts.py
+++ b/tests/network/upstream/test_attempts.py
@@ -84,7 +84,7 @@
         _, first = await endpoint.next_request()
         due, release = hold_connections(gateway)
         controller.pending_actions = [
-            SendAttempt((await controller.next_event(RequestArrived)).id, "w1", 9000.0)
+            SendAttempt((await controller.next_event(RequestArrived)).id, "w1", 9000.0, attempt=1)
         ]
         gateway.controller_loop.enqueue(TimerFired("hedge"))
     else:
--- a/tests/support/scripted_controller.py
+++ b/tests/support/scripted_controller.py
@@ -5,6 +5,7 @@
 
 from gateway.interface.actions import Fail, SendAttempt
 from gateway.interface.events import AttemptEnded, RequestArrived
+from gateway.policy.controller import HeldCounts
 
 
 class ScriptedController:
@@ -43,6 +44,10 @@
         """Return 0: this controller keeps no accounts."""
         return 0
 
+    def held_counts(self):
+        """Return counts of 0: this controller keeps no records."""
+        return HeldCounts(0, 0, 0)
+
     def endpoint_counts(self, _now):
         """Return 0 as the number of listed endpoints and as the number of avoided ones."""
         return 0, 0
