Count no attempt as executing whose response is being forwarded

If the response of a large request starts before its body is complete, the attempt stops counting toward the concurrency limit; the end of the body counted it again, until the end of the response, which may take minutes for a slow client.

--- a/gateway/policy/requests/request_flow.py
+++ b/gateway/policy/requests/request_flow.py
@@ -74,7 +74,7 @@
         request.arrival = replace(request.arrival, deadline_at_ms=event.deadline_at_ms)
         request.objective_at_ms = self._turn.now_ms + request.request_class.latency_objective_ms
         self._schedule_deadline(request)
-        if request.attempts_sent:
+        if request.attempts_sent and not request.is_streaming:
             for attempt_number in request.in_flight_endpoints:
                 self.attempts.set_executing(AttemptKey(request.id, attempt_number), True)
             self.attempts.schedule_hedge_timer(request)
--- a/tests/support/open_work.py
+++ b/tests/support/open_work.py
@@ -335,6 +335,9 @@
         assert set(table._records) == set(self.attempts.in_flight)
         assert set(flow.open_requests) == set(self.requests.open_requests)
         executing = [attempt for attempt in table if attempt.is_executing]
+        for request in self.requests.open_requests.values():
+            if request.streaming_attempt is not None:
+                assert not table._records[request.id, request.streaming_attempt].is_executing
         assert flow.attempts.limiter.in_flight.value == len(executing)
         for endpoint in self.controller.directory.table.by_id.values():
             assert endpoint.in_flight == sum(attempt.endpoint is endpoint for attempt in executing)
