Let no connection give way whose client still reads a response

A connection counted as idle or as closing as soon as its response had been passed to the transport, and both gave way before unfinished requests.

What a client has read is now recorded for idle connections too. The order is: connections that hold no response (closing, unused, idle), clients that have read nothing for 2.5 s or have taken 30 s, and then requests being received, which are rejected. The rejection of an incomplete request protects no connection. While memory is scarce, idle connections whose clients read nothing are aborted after 2.5 s. A refused connection triggers the eviction, which only admitted ones did. Polls of sockets, which stood twice, have a module.

--- a/gateway/network/admin/metrics.py
+++ b/gateway/network/admin/metrics.py
@@ -48,6 +48,7 @@
     INPUT_TIMEOUT = "input_timeout"  # its request was not received in time
     NO_MEMORY = "no_memory"  # no memory was left for the rest of its request
     LINGER_TIMEOUT = "linger_timeout"  # its client did not close it after the last response
+    STALLED_READER = "stalled_reader"  # its client read nothing of a response while memory was scarce
 
 
 class Metrics:
@@ -60,6 +61,7 @@
         self.forwarded_attempts = 0  # number of attempts written completely to an endpoint
         self.ends = dict.fromkeys(EndReason, 0)
         self.closes = dict.fromkeys(CloseReason, 0)
+        self.unread_closes = dict.fromkeys(CloseReason, 0)  # those that discarded output
         self.attempt_results = dict.fromkeys(AttemptResult, 0)
 
     def on_final_response(self, class_name: str, status: FinalStatus) -> None:
@@ -109,6 +111,13 @@
                 "reason",
                 {reason.value: count for reason, count in self.closes.items()},
             ),
+            *_family_lines(
+                "closes_unread_total",
+                "counter",
+                "Client connections that the gateway closed with unread output, by reason.",
+                "reason",
+                {reason.value: count for reason, count in self.unread_closes.items()},
+            ),
             *_family_lines(
                 "attempts_ended_total",
                 "counter",
--- a/gateway/network/client_frontend.py
+++ b/gateway/network/client_frontend.py
@@ -84,7 +84,10 @@
 
         `starting_count` is the number of accepted connections that are not registered yet.
         """
-        return self.connections.may_admit(starting_count)
+        if self.connections.may_admit(starting_count):
+            return True
+        self._schedule_eviction()
+        return False
 
     def on_client_connected(self, client: HandledConnection) -> None:
         """Register a connection that is new or that the predecessor has handed over.
@@ -96,9 +99,8 @@
             self.connections.add_transferred(client, self.clock.now())
         elif not self.connections.add(client, self.clock.now()):
             client.abort()
-        elif len(self.connections) > self.connections.eviction_threshold and not self._is_eviction_scheduled:
-            self._is_eviction_scheduled = True
-            self.timers.call_at(self.clock.now() + EVICTION_DELAY_MS, self._evict_excess)
+        elif len(self.connections) > self.connections.eviction_threshold:
+            self._schedule_eviction()
 
     def on_message_started(self, client: HandledConnection) -> None:
         """Start the input timeout of a request whose first byte has been received."""
@@ -130,16 +132,21 @@
         for client in list(self.connections.open_connections):
             client.close_if_idle()
 
+    def _schedule_eviction(self) -> None:
+        if not self._is_eviction_scheduled:
+            self._is_eviction_scheduled = True
+            self.timers.call_at(self.clock.now() + EVICTION_DELAY_MS, self._evict_excess)
+
     def _evict_excess(self) -> None:
         self._is_eviction_scheduled = False
-        self.connections.evict_excess()
+        self.connections.evict_excess(self.clock.now())
 
     def _sweep(self) -> None:
         now_ms = self.clock.now()
         self.timers.call_at(now_ms + SWEEP_INTERVAL_MS, self._sweep)
         self.hand_over_idle_connections()
         self._requests.close_disconnected_uploads()
-        self.connections.sweep(now_ms, self.is_draining)
+        self.connections.sweep(now_ms, self.is_draining, is_memory_scarce=self.memory.is_scarce)
 
     # -- requests
 
--- a/gateway/network/clients/client_output.py
+++ b/gateway/network/clients/client_output.py
@@ -65,6 +65,10 @@
         self._progress.update(unread_bytes, now_ms)
         return unread_bytes
 
+    def restart_progress(self) -> None:
+        """Let the limits for reading count anew, because a response has been written."""
+        self._progress.restart()
+
     def is_being_read(self, now_ms: float, stall_timeout_ms: float, total_timeout_ms: float) -> bool:
         """Return whether the client still has output to read and has not exceeded a limit for reading it.
 
--- a/gateway/network/clients/connection.py
+++ b/gateway/network/clients/connection.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from http import HTTPStatus
 from typing import cast
 
@@ -40,6 +39,7 @@
 from gateway.network.clients.upload import MAX_BUFFERED_BYTES, Upload
 from gateway.network.memory_budget import NARROW_READ_BYTES, WINDOW_BYTES
 from gateway.network.shared_read_buffer import SharedBufferProtocol
+from gateway.network.socket_events import has_peer_shut_down, has_unread_input
 
 # Bytes of an incomplete request that the memory of its connection covers.
 CONNECTION_HEAD_BYTES = 512
@@ -83,6 +83,8 @@
         # cleared this flag.
         self.received_while_closing = False
         self.closing_since_ms = 0.0
+        # Whether the connection closes, and its only output is the rejection of an incomplete request.
+        self._has_only_rejection = False
         self._handler = handler
         self._writer = ResponseWriter()
         self._rejection_pause = RejectionPause(handler)
@@ -305,9 +307,8 @@
 
     def _on_body_completed(self) -> None:
         if self.state is _DISCARDING:
-            self.state = _IDLE
             self._handler.connections.on_request_complete(self)
-            self._handler.on_connection_idle(self)
+            self._become_idle()
         elif self.request is not None and self._upload is not None:
             self.state = _RECEIVED
             self._handler.connections.on_request_complete(self)
@@ -365,6 +366,8 @@
         been sent already or is being forwarded.
         """
         has_response = self.state is _DISCARDING or self.response_source is not None
+        is_incomplete = self.state is _RECEIVING and not has_response
+        self._has_only_rejection = is_incomplete and not self._output.unread_bytes()
         self._cancel_request()
         if has_response:
             self._finish_and_linger(b"")
@@ -511,6 +514,7 @@
 
     def _become_idle(self) -> None:
         self.state = _IDLE
+        self._output.restart_progress()
         self._handler.on_connection_idle(self)
 
     def _discard_body(self) -> None:
@@ -535,11 +539,25 @@
 
     # -- the end of the connection
 
-    def release_unused_memory(self) -> None:
-        """Return the memory of the last response, once the client has acknowledged all of it."""
-        if self.memory.window.size and self.request is None and not self._output.unread_bytes():
+    def release_unused_memory(self, now_ms: float) -> None:
+        """Record what the client has read, and return the memory of the last response once that is all."""
+        if not self.memory.window.size or self.request is not None:
+            return
+        if not self._output.update_progress(now_ms):
             self.memory.window.release()
 
+    @property
+    def unread_output_bytes(self) -> int:
+        """The output that the client has not acknowledged."""
+        return self._output.unread_bytes()
+
+    def holds_response(self) -> bool:
+        """Return whether an unread response would be lost with the connection.
+
+        The rejection of an incomplete request does not count: the client has not made this request yet.
+        """
+        return bool(self._output.unread_bytes()) and not self._has_only_rejection
+
     def is_output_being_read(self, now_ms: float, stall_timeout_ms: float, total_timeout_ms: float) -> bool:
         """Return whether the client still has output to read and has not exceeded a limit for reading it."""
         return self._output.is_being_read(now_ms, stall_timeout_ms, total_timeout_ms)
@@ -674,19 +692,11 @@
         """
         if self.state is _PAUSED:
             return False
-        return self._has_socket_event(select.POLLIN)
+        return has_unread_input(self.transport)
 
     def is_disconnected(self) -> bool:
         """Return whether the client has shut down its sending side.
 
         The socket is polled, because the transport does not report a disconnect while reading is paused.
         """
-        return self._has_socket_event(select.POLLRDHUP)
-
-    def _has_socket_event(self, event_mask: int) -> bool:
-        socket = self.transport.get_extra_info("socket")
-        if socket is None or self.transport.is_closing():
-            return False
-        poll = select.poll()
-        poll.register(socket.fileno(), event_mask)
-        return bool(poll.poll(0))
+        return has_peer_shut_down(self.transport)
--- a/gateway/network/clients/connection_limiter.py
+++ b/gateway/network/clients/connection_limiter.py
@@ -75,11 +75,10 @@
 # Milliseconds after which a connection that the gateway is closing is aborted even if input still arrives.
 MAX_LINGER_MS = 5000.0
 
-# Milliseconds for which a client may read nothing of the output of a connection that the gateway is closing.
+# Milliseconds for which a client may read nothing of its output before the gateway needs its connection.
 OUTPUT_STALL_TIMEOUT_MS = 2500.0
 
-# Milliseconds after which a connection that the gateway is closing is aborted even if its client still reads
-# the output.
+# Milliseconds that a client may take in all to read the output of a connection that the gateway needs.
 MAX_OUTPUT_LINGER_MS = 30_000.0
 
 # Milliseconds between two searches for connections that have exceeded a time limit.
@@ -89,8 +88,8 @@
 class CloseRecorder(Protocol):
     """Records the connections that the gateway closes."""
 
-    def on_connection_closed(self, reason: CloseReason, received_bytes: int) -> None:
-        """Record a close, and the size of the part of a request that has been received."""
+    def on_connection_closed(self, reason: CloseReason, received_bytes: int, unread_bytes: int = 0) -> None:
+        """Record a close, the size of the part of a request received, and that of discarded output."""
 
 
 class LimitedConnection(Protocol):
@@ -112,6 +111,10 @@
     def is_closing(self) -> bool:
         """Whether the gateway or the client is ending the connection."""
 
+    @property
+    def unread_output_bytes(self) -> int:
+        """The output that the client has not acknowledged."""
+
     def is_transferable(self) -> bool:
         """Return whether the connection can be handed over: it is idle, and all responses are written."""
 
@@ -134,8 +137,11 @@
     def reject_request(self) -> None:
         """Answer the request that is being received with 503, and close the connection."""
 
-    def release_unused_memory(self) -> None:
-        """Return the memory of the last response, once the client has acknowledged all of it."""
+    def release_unused_memory(self, now_ms: float) -> None:
+        """Record what the client has read, and return the memory of the last response once that is all."""
+
+    def holds_response(self) -> bool:
+        """Return whether an unread response would be lost with the connection."""
 
     def is_output_being_read(self, now_ms: float, stall_timeout_ms: float, total_timeout_ms: float) -> bool:
         """Return whether the client still has output to read and has not exceeded a limit for reading it."""
@@ -250,30 +256,52 @@
         self._remove_from_tables(client)
         self._closing[client] = now_ms
 
-    def evict_excess(self) -> None:
+    def evict_excess(self, now_ms: float) -> None:
         """Abort connections until their number no longer exceeds `eviction_threshold`.
 
-        The order is: closing connections, connections that await the first byte of a request, idle ones, and
-        connections on which a request is being received; within each group, the connections that entered it
-        first. The latter are not aborted: their request is rejected, and they close once their client has
-        read the response, or at the next eviction. Connections whose open request is complete stay, and so do
-        those with unread input unless they are closing.
+        The order is:
+
+        1. closing connections, connections that await the first byte of a request, and idle ones, whose
+           clients have read all responses;
+        2. connections in the same three states whose clients have exceeded a limit for reading a response;
+        3. connections on which a request is being received.
+
+        Within each group and state, the connections that entered it first are the first. Those in the last
+        group are not aborted: their request is rejected, and they close once their client has read the
+        rejection, or at the next eviction. Connections whose open request is complete stay. So do those whose
+        clients still read a response, and those with unread input unless they are closing.
         """
         unused = [client for client in self._awaiting_request if not client.is_receiving]
+        stalled = []
         for client in [*self._closing, *unused, *self._idle]:
             if len(self.open_connections) <= self.eviction_threshold:
                 return
-            if client in self._closing or not client.has_unread_input():
-                self._record(client, CloseReason.EVICTED)
-                self.remove(client)
-                client.abort()
+            if client not in self._closing and client.has_unread_input():
+                continue
+            if client.holds_response():
+                stalled.append(client)
+            else:
+                self._evict(client)
+        for client in stalled:
+            if len(self.open_connections) <= self.eviction_threshold:
+                return
+            if not self._is_reading(client, now_ms):
+                self._evict(client)
         excess = len(self.open_connections) - self.eviction_threshold
         receiving = [client for client in self._awaiting_request if client.is_receiving]
         for client in receiving[: max(0, excess)]:
             self._record(client, CloseReason.EVICTED)
             client.reject_request()
 
-    def sweep(self, now_ms: float, is_draining: bool) -> None:
+    def _evict(self, client: LimitedConnection) -> None:
+        self._abort(client, CloseReason.EVICTED)
+        self.remove(client)
+
+    def _is_reading(self, client: LimitedConnection, now_ms: float) -> bool:
+        """Return whether the client still reads a response, so that its connection is not unused."""
+        return client.is_output_being_read(now_ms, OUTPUT_STALL_TIMEOUT_MS, MAX_OUTPUT_LINGER_MS)
+
+    def sweep(self, now_ms: float, is_draining: bool, *, is_memory_scarce: bool = False) -> None:
         """Close each connection that has exceeded a time limit, and release the memory of idle ones.
 
         To be called every SWEEP_INTERVAL_MS.
@@ -281,13 +309,16 @@
         Args:
             now_ms: The current time.
             is_draining: Whether the gateway drains, which shortens the input timeout and the lingering.
+            is_memory_scarce: Whether the gateway needs the memory of responses that clients do not read.
         """
         self._time_out_input(now_ms, is_draining)
+        if is_memory_scarce:
+            self._abort_stalled_readers(now_ms)
         self._close_unused_under_overload(now_ms)
         self._close_expired_idle(now_ms)
         self._abort_expired_closing(now_ms, is_draining)
         for client in self._idle:
-            client.release_unused_memory()
+            client.release_unused_memory(now_ms)
 
     def _time_out_input(self, now_ms: float, is_draining: bool) -> None:
         """Report the input timeout to connections whose request has not been received in time.
@@ -309,16 +340,31 @@
         count = len(self.open_connections) - len(self._closing)
         awaiting = _in_table_longer_than(self._awaiting_request, now_ms, OVERLOAD_IDLE_MS)
         new = [client for client in awaiting if not client.is_receiving]
-        self._close_unused(new, count - self.new_connections_threshold)
+        self._close_unused(new, count - self.new_connections_threshold, now_ms)
         idle = _in_table_longer_than(self._idle, now_ms, OVERLOAD_IDLE_MS)
-        self._close_unused(idle, count - self.overload_threshold)
+        self._close_unused(idle, count - self.overload_threshold, now_ms)
 
-    def _close_unused(self, clients: list[LimitedConnection], excess: int) -> None:
+    def _close_unused(self, clients: list[LimitedConnection], excess: int, now_ms: float) -> None:
         """Close the first of these connections, as many as there are in excess."""
-        for client in clients[: max(0, excess)]:
+        for client in self._first_not_reading(clients, excess, now_ms):
             client.close_if_idle()
             self._record_if_closing(client, CloseReason.UNUSED_UNDER_OVERLOAD)
 
+    def _first_not_reading(
+        self, clients: list[LimitedConnection], count: int, now_ms: float
+    ) -> list[LimitedConnection]:
+        """Return the first of these connections, at most `count`, whose clients read no response."""
+        if count <= 0:
+            return []
+        return [client for client in clients if not self._is_reading(client, now_ms)][:count]
+
+    def _abort_stalled_readers(self, now_ms: float) -> None:
+        """Abort the idle connections whose clients have exceeded a limit for reading their responses."""
+        for client in list(self._idle):
+            if client.holds_response() and not self._is_reading(client, now_ms):
+                self._abort(client, CloseReason.STALLED_READER)
+                self.remove(client)
+
     def _close_expired_idle(self, now_ms: float) -> None:
         """Close the idle connections in excess of `max_idle` after MIN_IDLE_MS, the longest idle ones first.
 
@@ -326,7 +372,9 @@
         """
         excess = len(self._idle) - self.max_idle
         if excess > 0:
-            expired = _in_table_longer_than(self._idle, now_ms, MIN_IDLE_MS)[:excess]
+            expired = self._first_not_reading(
+                _in_table_longer_than(self._idle, now_ms, MIN_IDLE_MS), excess, now_ms
+            )
         else:
             expired = _in_table_longer_than(self._idle, now_ms, IDLE_TIMEOUT_MS)
         for client in expired:
@@ -340,7 +388,7 @@
         Input extends the linger timeout up to MAX_LINGER_MS in total, but not while the gateway drains.
         """
         for client in _in_table_longer_than(self._closing, now_ms, 0.0):
-            if client.is_output_being_read(now_ms, OUTPUT_STALL_TIMEOUT_MS, MAX_OUTPUT_LINGER_MS):
+            if self._is_reading(client, now_ms):
                 continue
             if now_ms - self._closing[client] <= LINGER_TIMEOUT_MS:
                 continue
@@ -349,8 +397,12 @@
                 client.received_while_closing = False
                 self._closing[client] = self._closing.pop(client) + LINGER_TIMEOUT_MS
             else:
-                self._record(client, CloseReason.LINGER_TIMEOUT)
-                client.abort()
+                self._abort(client, CloseReason.LINGER_TIMEOUT)
+
+    def _abort(self, client: LimitedConnection, reason: CloseReason) -> None:
+        if self._recorder is not None:
+            self._recorder.on_connection_closed(reason, client.received_bytes, client.unread_output_bytes)
+        client.abort()
 
     def _record(self, client: LimitedConnection, reason: CloseReason) -> None:
         if self._recorder is not None:
--- a/gateway/network/clients/output_progress.py
+++ b/gateway/network/clients/output_progress.py
@@ -17,6 +17,10 @@
         self._changed_at_ms = 0.0  # clock time at which `unread_bytes` last changed
         self._pending_since_ms = 0.0  # clock time from which on there has been unread output
 
+    def restart(self) -> None:
+        """Let all limits count anew from the next measurement, because output has been written."""
+        self.unread_bytes = 0
+
     def update(self, unread_bytes: int, now_ms: float) -> None:
         """Record a measurement of the output that the client has not acknowledged."""
         if not self.unread_bytes:
--- a/gateway/network/memory_budget.py
+++ b/gateway/network/memory_budget.py
@@ -42,6 +42,11 @@
         self.capacity_bytes = capacity_bytes
         self.reserved_bytes = 0
 
+    @property
+    def is_scarce(self) -> bool:
+        """Whether new transfers get the smallest window only, or none."""
+        return self.reserved_bytes > self.capacity_bytes * BUFFERING_FRACTION
+
     def try_reserve(self, size: int, *, is_window: bool) -> bool:
         """Reserve `size` bytes, and return whether the capacity permits it.
 
--- a/gateway/network/request_log.py
+++ b/gateway/network/request_log.py
@@ -68,15 +68,20 @@
             self._clock.now() - request.opened_at_ms,
         )
 
-    def on_connection_closed(self, reason: CloseReason, received_bytes: int) -> None:
+    def on_connection_closed(self, reason: CloseReason, received_bytes: int, unread_bytes: int = 0) -> None:
         """Record that the gateway closes a client connection on which no response ends it.
 
-        `received_bytes` is the size of the part of a request that has been received on it, 0 if there is
-        none; only then something was lost.
+        `received_bytes` is the size of the part of a request that has been received on it, and `unread_bytes`
+        that of the output that is discarded; only if one of them is not 0, something was lost.
         """
         self._metrics.closes[reason] += 1
         if received_bytes and self._may_log():
             log.info("connection closed: %s, %d bytes of a request received", reason.value, received_bytes)
+        if not unread_bytes:
+            return
+        self._metrics.unread_closes[reason] += 1
+        if self._may_log():
+            log.info("connection closed: %s, %d bytes of output not read", reason.value, unread_bytes)
 
     def _may_log(self) -> bool:
         """Return whether another line may be logged, and log the number of omitted lines before it."""
--- a/gateway/network/upstream/connection.py
+++ b/gateway/network/upstream/connection.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import os
-import select
 from typing import Protocol, cast
 
 from gateway.interface.events import AttemptResult
@@ -14,6 +13,7 @@
 from gateway.network.output_backlog import OutputBacklog
 from gateway.network.shared_read_buffer import SharedBufferProtocol
 from gateway.network.socket_buffers import abort_and_discard, output_bytes
+from gateway.network.socket_events import has_unread_input
 from gateway.network.upstream.attempt import UpstreamAttempt
 from gateway.network.upstream.endpoint import UpstreamEndpoint
 from gateway.network.upstream.exchange import Exchange, ExchangeState
@@ -282,9 +282,7 @@
         The event loop may not have reported the input yet. If a request were written now, the unread bytes
         would be mistaken for its response, or the close of the connection for a failure of the request.
         """
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return has_unread_input(self.transport)
 
     def is_stalled(self, now_ms: float) -> bool:
         """Return whether the request being sent or the response being forwarded has stalled.
--- a/tests/network/admin/test_diagnostics.py
+++ b/tests/network/admin/test_diagnostics.py
@@ -68,6 +68,6 @@
     while not any(connection.received_bytes for connection in gateway.connections.open_connections):
         await read_diagnostics(running_gateway)
     gateway.connections.eviction_threshold = 0
-    gateway.connections.evict_excess()
+    gateway.connections.evict_excess(gateway.clock.now())
     assert (await read_diagnostics(running_gateway))['closes_total{reason="evicted"}'] == 1
     assert "connection closed: evicted, 20 bytes of a request received" in caplog.messages
--- a/tests/network/clients/test_connection_limiter.py
+++ b/tests/network/clients/test_connection_limiter.py
@@ -24,7 +24,7 @@
     assert (await rejected.next_response()).status == 400
     for eviction_threshold, closed in ((4, rejected), (3, silent[0]), (2, silent[1]), (1, idle), (0, None)):
         limiter.eviction_threshold = eviction_threshold
-        limiter.evict_excess()
+        limiter.evict_excess(gateway.clock.now())
         if closed is not None:
             assert await closed.is_closed_by_peer() and len(limiter) == eviction_threshold
     assert len(limiter) == 1 and len(gateway.requests.open_requests) == 1
@@ -51,7 +51,7 @@
         gateway.frontend.close_idle_connections()
     else:
         gateway.connections.eviction_threshold = 0
-        gateway.connections.evict_excess()
+        gateway.connections.evict_excess(gateway.clock.now())
     _, writer = await endpoint.next_request()
     writer.write(http_response())
     assert (await client.next_response()).status == 200
--- a/tests/support/slow_reader.py
+++ b/tests/support/slow_reader.py
@@ -27,14 +27,18 @@
         assert self.sock.send(data) == len(data)
         return self
 
+    async def read_part(self, max_bytes):
+        """Read what has arrived, or b"" at the end of the connection; a reset counts as an end."""
+        try:
+            return await asyncio.get_running_loop().sock_recv(self.sock, max_bytes)
+        except ConnectionError:
+            return b""
+
     async def read(self, size):
-        """Read `size` bytes, or fewer if the connection ends before; a reset counts as an end."""
+        """Read `size` bytes, or fewer if the connection ends before."""
         received = b""
         while len(received) < size:
-            try:
-                part = await asyncio.get_running_loop().sock_recv(self.sock, size - len(received))
-            except ConnectionError:
-                break
+            part = await self.read_part(size - len(received))
             if not part:
                 break
             received += part
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -39,7 +39,7 @@
 def test_runbook_lists_each_metric_for_the_analysis_of_faults():
     text = Metrics(["reading"]).diagnostics_text({}).decode()
     names = set(re.findall(r"^# TYPE edge_balancer_(\w+)", text, re.M))
-    assert len(names) == 4
+    assert len(names) == 5
     assert all(re.search(rf"^\| `{name}[`{{]", RUNBOOK, re.M) for name in names), names
 
 
