Read on after an early response that ends with its connection

If a forwarded response ends before the body of its request, and the connection has to close, it was closed while the client was still writing: the system then answers the next bytes with a reset, with which the client's system may discard the end of the response. Other responses before the end of a request shut down the sending side and discard the rest of the input; this one now does the same. The new test failed before (the client was reset while it wrote the last 100 kB of its body) and passes.

--- a/gateway/network/clients/connection.py
+++ b/gateway/network/clients/connection.py
@@ -482,7 +482,7 @@
         self.response_source = None
         if self.transport.is_closing():
             return
-        is_pipelined = self.state is _PIPELINED
+        is_client_writing = self.state is _PIPELINED or self.state is _RECEIVING
         close = self._must_close()
         self.transport.write(self._writer.body_end())
         if self.state is _RECEIVING and not close:
@@ -491,7 +491,7 @@
         self._reset_request_state()
         self.memory.body.release()
         self.reader.expect_next_message()
-        if is_pipelined:
+        if is_client_writing:
             self._finish_and_linger(b"")
         elif close:
             self._close()
