Keep slow readers from filling the gateway while descriptors are scarce

The protection of connections whose clients read a response let slow readers hold nearly all connections: beside a mixed crowd of 400 clients, 512 descriptors and 96 MB, 11420 connections were refused (275 before the protection), and 340 of 400 ordinary requests got no answer (14 before), with 59 served (73 before).

While descriptors are scarce, a client now has 2.5 s and the time that the response needs at 16 kB/s. Open requests and readers together may hold what clients hold at most, a third of the descriptors; beyond that the oldest readers give way, but for 3% of the descriptors.

--- a/gateway/network/clients/client_output.py
+++ b/gateway/network/clients/client_output.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from gateway.network.clients.output_progress import OutputProgress
+from gateway.network.clients.output_progress import OutputProgress, ReadingLimits
 from gateway.network.clock import Clock, Timers
 from gateway.network.memory_budget import NARROW_READ_BYTES, WIDE_READ_BYTES
 from gateway.network.output_backlog import OutputBacklog
@@ -69,14 +69,14 @@
         """Let the limits for reading count anew, because a response has been written."""
         self._progress.restart()
 
-    def is_being_read(self, now_ms: float, stall_timeout_ms: float, total_timeout_ms: float) -> bool:
+    def is_being_read(self, now_ms: float, limits: ReadingLimits) -> bool:
         """Return whether the client still has output to read and has not exceeded a limit for reading it.
 
-        The limits are those of `OutputProgress.is_being_read`. The stall timeout counts from the last call at
-        which the output had changed, so this method has to be called more often.
+        The stall timeout counts from the last call at which the output had changed, so this method has to be
+        called more often.
         """
         self.update_progress(now_ms)
-        return self._progress.is_being_read(now_ms, stall_timeout_ms, total_timeout_ms)
+        return self._progress.is_being_read(now_ms, limits)
 
     def close(self) -> None:
         """Close the connection once the kernel has accepted all output, and have the kernel deliver it."""
--- a/gateway/network/clients/connection.py
+++ b/gateway/network/clients/connection.py
@@ -20,6 +20,7 @@
 from gateway.network.clients.connection_memory import ConnectionMemory
 from gateway.network.clients.connection_state import ConnectionState
 from gateway.network.clients.open_request import OpenRequest
+from gateway.network.clients.output_progress import ReadingLimits
 from gateway.network.clients.received_request import ReceivedRequest
 from gateway.network.clients.rejection_pause import RejectionPause
 from gateway.network.clients.request_events import (
@@ -558,9 +559,9 @@
         """
         return bool(self._output.unread_bytes()) and not self._has_only_rejection
 
-    def is_output_being_read(self, now_ms: float, stall_timeout_ms: float, total_timeout_ms: float) -> bool:
+    def is_output_being_read(self, now_ms: float, limits: ReadingLimits) -> bool:
         """Return whether the client still has output to read and has not exceeded a limit for reading it."""
-        return self._output.is_being_read(now_ms, stall_timeout_ms, total_timeout_ms)
+        return self._output.is_being_read(now_ms, limits)
 
     def abort(self) -> None:
         """Close the connection at once, and discard all output that the client has not read.
--- a/gateway/network/clients/connection_limiter.py
+++ b/gateway/network/clients/connection_limiter.py
@@ -19,9 +19,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import Protocol
 
 from gateway.network.admin.metrics import CloseReason
+from gateway.network.clients.output_progress import ReadingLimits
 
 # Number of open client connections above which connections without an open request are evicted (closed
 # early), as a fraction of the descriptors that connections to clients and endpoints share.
@@ -78,9 +80,25 @@
 # Milliseconds for which a client may read nothing of its output before the gateway needs its connection.
 OUTPUT_STALL_TIMEOUT_MS = 2500.0
 
-# Milliseconds that a client may take in all to read the output of a connection that the gateway needs.
+# Milliseconds after which a connection that the gateway is closing is aborted even if its client still reads
+# the output.
 MAX_OUTPUT_LINGER_MS = 30_000.0
 
+# Rate in bytes per millisecond at which a client has to read a response after OUTPUT_STALL_TIMEOUT_MS, or
+# its connection gives way while descriptors or memory are scarce.
+MIN_READ_BYTES_PER_MS = 16.0
+
+# Number of connections with an open request, or with a response that is being read, up to which none of the
+# latter gives way, as a fraction of the descriptors. Clients that send requests hold at most a third of them.
+ACTIVE_FRACTION = 0.34
+
+# Number of connections with a response that is being read that are kept however many requests are open.
+MIN_READERS_FRACTION = 0.03
+
+# The limits on reading while no descriptor is needed, and while one is.
+LINGERING_LIMITS = ReadingLimits(OUTPUT_STALL_TIMEOUT_MS, MAX_OUTPUT_LINGER_MS, math.inf)
+SCARCE_LIMITS = ReadingLimits(OUTPUT_STALL_TIMEOUT_MS, OUTPUT_STALL_TIMEOUT_MS, MIN_READ_BYTES_PER_MS)
+
 # Milliseconds between two searches for connections that have exceeded a time limit.
 SWEEP_INTERVAL_MS = 100.0
 
@@ -143,7 +161,7 @@
     def holds_response(self) -> bool:
         """Return whether an unread response would be lost with the connection."""
 
-    def is_output_being_read(self, now_ms: float, stall_timeout_ms: float, total_timeout_ms: float) -> bool:
+    def is_output_being_read(self, now_ms: float, limits: ReadingLimits) -> bool:
         """Return whether the client still has output to read and has not exceeded a limit for reading it."""
 
     def abort(self) -> None:
@@ -186,6 +204,8 @@
         self.eviction_threshold = int(descriptors * EVICTION_THRESHOLD_FRACTION)
         self.max_admitted = int(descriptors * ADMITTED_FRACTION)
         self.max_idle = int(descriptors * IDLE_FRACTION)
+        self.max_active = int(descriptors * ACTIVE_FRACTION)
+        self.min_readers = int(descriptors * MIN_READERS_FRACTION)
         self.overload_threshold = int(descriptors * OVERLOAD_FRACTION)
         self.new_connections_threshold = int(descriptors * NEW_CONNECTIONS_FRACTION)
 
@@ -198,6 +218,7 @@
         self.eviction_threshold += 1
         self.max_admitted += 1
         self.max_idle += 1
+        self.max_active += 1
         self.overload_threshold += 1
         self.new_connections_threshold += 1
         self.open_connections.add(client)
@@ -264,42 +285,63 @@
         1. closing connections, connections that await the first byte of a request, and idle ones, whose
            clients have read all responses;
         2. connections in the same three states whose clients have exceeded a limit for reading a response;
-        3. connections on which a request is being received.
+        3. those whose clients read a response, as many as `_excess_readers` returns;
+        4. connections on which a request is being received.
 
         Within each group and state, the connections that entered it first are the first. Those in the last
         group are not aborted: their request is rejected, and they close once their client has read the
-        rejection, or at the next eviction. Connections whose open request is complete stay. So do those whose
-        clients still read a response, and those with unread input unless they are closing.
+        rejection, or at the next eviction. Connections whose open request is complete stay, and so do those
+        with unread input unless they are closing.
         """
         unused = [client for client in self._awaiting_request if not client.is_receiving]
-        stalled = []
+        holding_response = []
         for client in [*self._closing, *unused, *self._idle]:
             if len(self.open_connections) <= self.eviction_threshold:
                 return
             if client not in self._closing and client.has_unread_input():
                 continue
             if client.holds_response():
-                stalled.append(client)
+                holding_response.append(client)
             else:
                 self._evict(client)
-        for client in stalled:
+        readers = []
+        for client in holding_response:
             if len(self.open_connections) <= self.eviction_threshold:
                 return
-            if not self._is_reading(client, now_ms):
+            if client.is_output_being_read(now_ms, SCARCE_LIMITS):
+                readers.append(client)
+            else:
                 self._evict(client)
+        for client in self._excess_readers(readers):
+            if len(self.open_connections) <= self.eviction_threshold:
+                return
+            self._evict(client)
         excess = len(self.open_connections) - self.eviction_threshold
         receiving = [client for client in self._awaiting_request if client.is_receiving]
         for client in receiving[: max(0, excess)]:
             self._record(client, CloseReason.EVICTED)
             client.reject_request()
 
+    def _excess_readers(self, readers: list[LimitedConnection]) -> list[LimitedConnection]:
+        """Return the connections that give way although their clients read a response, oldest first.
+
+        Together with the connections that have an open request, they may be as many as clients that send
+        requests hold at most. Otherwise slow readers would fill the gateway.
+        """
+        in_tables = len(self._awaiting_request) + len(self._idle) + len(self._closing)
+        open_count = len(self.open_connections) - in_tables
+        kept_count = max(self.min_readers, self.max_active - open_count)
+        since_ms = {**self._awaiting_request, **self._idle, **self._closing}
+        oldest_first = sorted(readers, key=since_ms.__getitem__)
+        return oldest_first[: max(0, len(readers) - kept_count)]
+
     def _evict(self, client: LimitedConnection) -> None:
         self._abort(client, CloseReason.EVICTED)
         self.remove(client)
 
     def _is_reading(self, client: LimitedConnection, now_ms: float) -> bool:
         """Return whether the client still reads a response, so that its connection is not unused."""
-        return client.is_output_being_read(now_ms, OUTPUT_STALL_TIMEOUT_MS, MAX_OUTPUT_LINGER_MS)
+        return client.is_output_being_read(now_ms, LINGERING_LIMITS)
 
     def sweep(self, now_ms: float, is_draining: bool, *, is_memory_scarce: bool = False) -> None:
         """Close each connection that has exceeded a time limit, and release the memory of idle ones.
@@ -361,7 +403,7 @@
     def _abort_stalled_readers(self, now_ms: float) -> None:
         """Abort the idle connections whose clients have exceeded a limit for reading their responses."""
         for client in list(self._idle):
-            if client.holds_response() and not self._is_reading(client, now_ms):
+            if client.holds_response() and not client.is_output_being_read(now_ms, SCARCE_LIMITS):
                 self._abort(client, CloseReason.STALLED_READER)
                 self.remove(client)
 
--- a/tests/network/clients/test_scarce_connections.py
+++ b/tests/network/clients/test_scarce_connections.py
@@ -10,6 +10,7 @@
 
 from gateway.network.clients.connection_limiter import (
     MIN_IDLE_MS,
+    MIN_READ_BYTES_PER_MS,
     OUTPUT_STALL_TIMEOUT_MS,
     OVERLOAD_IDLE_MS,
 )
@@ -170,3 +171,46 @@
     assert gateway.frontend.may_admit(0)
     for peer in peers:
         peer.close()
+
+
+@pytest.mark.parametrize("open_requests", [0, 1])
+async def test_readers_in_excess_of_what_clients_may_hold_give_way_oldest_first(
+    open_requests, endpoint, gateway, running_gateway, client
+):
+    """Guards against slow readers that fill the gateway, so that it refuses every new connection."""
+    readers = []
+    for _ in range(4):
+        readers.append(await connect_reader(gateway, running_gateway))
+        await leave_response_unread(readers[-1][0], endpoint, gateway, bytes(30_000))
+    if open_requests:
+        client.send(http_request())
+        await wait_until(lambda: gateway.requests.open_requests)
+    else:
+        client.close()
+        await wait_until(lambda: len(gateway.connections) == len(readers))
+    gateway.connections.max_active = 2
+    gateway.connections.min_readers = 1
+    evict_all_after(gateway, 0.0)
+    kept = [connection in gateway.connections.open_connections for _, connection in readers]
+    assert kept == [False, False, not open_requests, True]
+    for reader, _ in readers:
+        reader.close()
+
+
+async def test_reader_below_the_minimum_rate_gives_way_although_it_reads(endpoint, gateway, running_gateway):
+    reader, connection = await connect_reader(gateway, running_gateway)
+    await leave_response_unread(reader, endpoint, gateway, bytes(30_000))
+    unread_bytes = connection.unread_output_bytes
+    gateway.connections.eviction_threshold = 0
+    began_ms = gateway.clock.now()
+    gateway.connections.evict_excess(began_ms)
+    allowed_ms = OUTPUT_STALL_TIMEOUT_MS + unread_bytes / MIN_READ_BYTES_PER_MS
+    for elapsed_ms in (0.5 * allowed_ms, allowed_ms - 100, allowed_ms + 200):
+        assert len(gateway.connections) == 1
+        before_bytes = connection.unread_output_bytes
+        while connection.unread_output_bytes == before_bytes:
+            await reader.read(100)
+            await asyncio.sleep(0.01)
+        gateway.connections.evict_excess(began_ms + elapsed_ms)
+    assert not len(gateway.connections)
+    reader.close()
