Read the state of a connection's output once, and abort overdue readers in every state

For each candidate an eviction asked the kernel up to three times for the unread bytes, by three queries of which two stood for one state; there is one state now (read, being read, overdue), read once. The choice among many idle connections ends at the number that is needed. ClientOutput gets its backlog and repeats none of its arguments; evict_excess is two shorter functions; the tests use one slow reader and one step that finishes a play.

--- a/gateway/network/admin/metrics.py
+++ b/gateway/network/admin/metrics.py
@@ -48,7 +48,7 @@
     INPUT_TIMEOUT = "input_timeout"  # its request was not received in time
     NO_MEMORY = "no_memory"  # no memory was left for the rest of its request
     LINGER_TIMEOUT = "linger_timeout"  # its client did not close it after the last response
-    STALLED_READER = "stalled_reader"  # its client read nothing of a response while memory was scarce
+    STALLED_READER = "stalled_reader"  # its client did not read a response in time while memory was scarce
 
 
 class Metrics:
--- a/gateway/network/client_frontend.py
+++ b/gateway/network/client_frontend.py
@@ -80,7 +80,7 @@
     # -- connections
 
     def may_admit(self, starting_count: int) -> bool:
-        """Return whether there is room for a new connection, and record one that has to be closed.
+        """Return whether there is room for a new connection; otherwise record it, and make room for the next.
 
         `starting_count` is the number of accepted connections that are not registered yet.
         """
@@ -99,6 +99,7 @@
             self.connections.add_transferred(client, self.clock.now())
         elif not self.connections.add(client, self.clock.now()):
             client.abort()
+            self._schedule_eviction()
         elif len(self.connections) > self.connections.eviction_threshold:
             self._schedule_eviction()
 
--- a/gateway/network/clients/client_output.py
+++ b/gateway/network/clients/client_output.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 
-from gateway.network.clients.output_progress import OutputProgress, ReadingLimits
-from gateway.network.clock import Clock, Timers
+from gateway.network.clients.output_progress import OutputProgress, OutputState, ReadingLimits
 from gateway.network.memory_budget import NARROW_READ_BYTES, WIDE_READ_BYTES
 from gateway.network.output_backlog import OutputBacklog
 from gateway.network.socket_buffers import abort_and_discard, deliver_after_close, output_bytes
@@ -24,29 +22,18 @@
 
     __slots__ = ("_is_transferred", "_progress", "_transport", "backlog")
 
-    def __init__(
-        self,
-        transport: asyncio.Transport,
-        clock: Clock,
-        timers: Timers,
-        on_backlog_changed: Callable[[bool], None],
-        *,
-        is_transferred: bool,
-    ) -> None:
+    def __init__(self, transport: asyncio.Transport, backlog: OutputBacklog, *, is_transferred: bool) -> None:
         """Start without output.
 
         Args:
             transport: The transport of the connection.
-            clock: The clock of the timers.
-            timers: Schedule the checks of the backlog.
-            on_backlog_changed: Called with True when the source of a response has to pause, and with False
-                when it may go on.
+            backlog: Pauses the source of a response while the client reads too slowly.
             is_transferred: Whether the predecessor has handed the connection over.
         """
+        self.backlog = backlog
         self._transport = transport
         self._is_transferred = is_transferred
         self._progress = OutputProgress()
-        self.backlog = OutputBacklog(transport, clock, timers, on_backlog_changed, MAX_RESPONSE_BACKLOG_BYTES)
         self.limit_backlog(MAX_RESPONSE_BACKLOG_BYTES)
         self._deliver_after_close()
 
@@ -69,14 +56,14 @@
         """Let the limits for reading count anew, because a response has been written."""
         self._progress.restart()
 
-    def is_being_read(self, now_ms: float, limits: ReadingLimits) -> bool:
-        """Return whether the client still has output to read and has not exceeded a limit for reading it.
+    def state(self, now_ms: float, limits: ReadingLimits) -> OutputState:
+        """Record what the client has read up to now, and return how far it has read the output.
 
         The stall timeout counts from the last call at which the output had changed, so this method has to be
         called more often.
         """
         self.update_progress(now_ms)
-        return self._progress.is_being_read(now_ms, limits)
+        return self._progress.state(now_ms, limits)
 
     def close(self) -> None:
         """Close the connection once the kernel has accepted all output, and have the kernel deliver it."""
--- a/gateway/network/clients/connection.py
+++ b/gateway/network/clients/connection.py
@@ -20,7 +20,7 @@
 from gateway.network.clients.connection_memory import ConnectionMemory
 from gateway.network.clients.connection_state import ConnectionState
 from gateway.network.clients.open_request import OpenRequest
-from gateway.network.clients.output_progress import ReadingLimits
+from gateway.network.clients.output_progress import OutputState, ReadingLimits
 from gateway.network.clients.received_request import ReceivedRequest
 from gateway.network.clients.rejection_pause import RejectionPause
 from gateway.network.clients.request_events import (
@@ -39,6 +39,7 @@
 from gateway.network.clients.response_writer import CONTINUE, ResponseWriter
 from gateway.network.clients.upload import MAX_BUFFERED_BYTES, Upload
 from gateway.network.memory_budget import NARROW_READ_BYTES, WINDOW_BYTES
+from gateway.network.output_backlog import OutputBacklog
 from gateway.network.shared_read_buffer import SharedBufferProtocol
 from gateway.network.socket_events import has_peer_shut_down, has_unread_input
 
@@ -85,7 +86,7 @@
         self.received_while_closing = False
         self.closing_since_ms = 0.0
         # Whether the connection closes, and its only output is the rejection of an incomplete request.
-        self._has_only_rejection = False
+        self.has_only_rejection = False
         self._handler = handler
         self._writer = ResponseWriter()
         self._rejection_pause = RejectionPause(handler)
@@ -105,13 +106,14 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the handler."""
         self.transport = cast(asyncio.Transport, transport)
-        self._output = ClientOutput(
+        backlog = OutputBacklog(
             self.transport,
             self._handler.clock,
             self._handler.timers,
             self._set_response_paused,
-            is_transferred=self.is_transferred,
+            MAX_RESPONSE_BACKLOG_BYTES,
         )
+        self._output = ClientOutput(self.transport, backlog, is_transferred=self.is_transferred)
         self._handler.on_client_connected(self)
 
     def pause_writing(self) -> None:
@@ -368,7 +370,7 @@
         """
         has_response = self.state is _DISCARDING or self.response_source is not None
         is_incomplete = self.state is _RECEIVING and not has_response
-        self._has_only_rejection = is_incomplete and not self._output.unread_bytes()
+        self.has_only_rejection = is_incomplete and not self._output.unread_bytes()
         self._cancel_request()
         if has_response:
             self._finish_and_linger(b"")
@@ -552,16 +554,9 @@
         """The output that the client has not acknowledged."""
         return self._output.unread_bytes()
 
-    def holds_response(self) -> bool:
-        """Return whether an unread response would be lost with the connection.
-
-        The rejection of an incomplete request does not count: the client has not made this request yet.
-        """
-        return bool(self._output.unread_bytes()) and not self._has_only_rejection
-
-    def is_output_being_read(self, now_ms: float, limits: ReadingLimits) -> bool:
-        """Return whether the client still has output to read and has not exceeded a limit for reading it."""
-        return self._output.is_being_read(now_ms, limits)
+    def output_state(self, now_ms: float, limits: ReadingLimits) -> OutputState:
+        """Record what the client has read up to now, and return how far it has read its output."""
+        return self._output.state(now_ms, limits)
 
     def abort(self) -> None:
         """Close the connection at once, and discard all output that the client has not read.
--- a/gateway/network/clients/connection_limiter.py
+++ b/gateway/network/clients/connection_limiter.py
@@ -19,11 +19,12 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 from typing import Protocol
 
 from gateway.network.admin.metrics import CloseReason
-from gateway.network.clients.output_progress import ReadingLimits
+from gateway.network.clients.output_progress import OutputState, ReadingLimits
 
 # Number of open client connections above which connections without an open request are evicted (closed
 # early), as a fraction of the descriptors that connections to clients and endpoints share.
@@ -85,11 +86,11 @@
 MAX_OUTPUT_LINGER_MS = 30_000.0
 
 # Rate in bytes per millisecond at which a client has to read a response after OUTPUT_STALL_TIMEOUT_MS, or
-# its connection gives way while descriptors or memory are scarce.
+# its connection is aborted while descriptors or memory are scarce.
 MIN_READ_BYTES_PER_MS = 16.0
 
 # Number of connections with an open request, or with a response that is being read, up to which none of the
-# latter gives way, as a fraction of the descriptors. Clients that send requests hold at most a third of them.
+# latter is evicted, as a fraction of the descriptors. Clients that send requests hold at most a third.
 ACTIVE_FRACTION = 0.34
 
 # Number of connections with a response that is being read that are kept however many requests are open.
@@ -133,6 +134,10 @@
     def unread_output_bytes(self) -> int:
         """The output that the client has not acknowledged."""
 
+    @property
+    def has_only_rejection(self) -> bool:
+        """Whether the connection closes, and its only output is the rejection of an incomplete request."""
+
     def is_transferable(self) -> bool:
         """Return whether the connection can be handed over: it is idle, and all responses are written."""
 
@@ -158,11 +163,8 @@
     def release_unused_memory(self, now_ms: float) -> None:
         """Record what the client has read, and return the memory of the last response once that is all."""
 
-    def holds_response(self) -> bool:
-        """Return whether an unread response would be lost with the connection."""
-
-    def is_output_being_read(self, now_ms: float, limits: ReadingLimits) -> bool:
-        """Return whether the client still has output to read and has not exceeded a limit for reading it."""
+    def output_state(self, now_ms: float, limits: ReadingLimits) -> OutputState:
+        """Record what the client has read up to now, and return how far it has read its output."""
 
     def abort(self) -> None:
         """Close the connection at once, and discard all output that the client has not read."""
@@ -283,7 +285,7 @@
         The order is:
 
         1. closing connections, connections that await the first byte of a request, and idle ones, whose
-           clients have read all responses;
+           clients have read all responses, or whose only output is the rejection of an incomplete request;
         2. connections in the same three states whose clients have exceeded a limit for reading a response;
         3. those whose clients read a response, as many as `_excess_readers` returns;
         4. connections on which a request is being received.
@@ -293,55 +295,64 @@
         rejection, or at the next eviction. Connections whose open request is complete stay, and so do those
         with unread input unless they are closing.
         """
+        overdue, readers = self._evict_without_response(now_ms)
+        self._evict(overdue)
+        self._evict(self._excess_readers(readers))
+        excess = len(self.open_connections) - self.eviction_threshold
+        receiving = [client for client in self._awaiting_request if client.is_receiving]
+        for client in receiving[: max(0, excess)]:
+            self._record(client, CloseReason.EVICTED)
+            client.reject_request()
+
+    def _evict_without_response(
+        self, now_ms: float
+    ) -> tuple[list[LimitedConnection], list[LimitedConnection]]:
+        """Evict connections that hold no unread response, and return those that hold one.
+
+        The first list has those whose clients have exceeded a limit for reading it. If there are enough of
+        the former, the lists are not complete.
+        """
+        overdue: list[LimitedConnection] = []
+        readers: list[LimitedConnection] = []
         unused = [client for client in self._awaiting_request if not client.is_receiving]
-        holding_response = []
         for client in [*self._closing, *unused, *self._idle]:
             if len(self.open_connections) <= self.eviction_threshold:
-                return
+                break
             if client not in self._closing and client.has_unread_input():
                 continue
-            if client.holds_response():
-                holding_response.append(client)
+            state = client.output_state(now_ms, SCARCE_LIMITS)
+            if state is OutputState.READ or client.has_only_rejection:
+                self._evict([client])
+            elif state is OutputState.OVERDUE:
+                overdue.append(client)
             else:
-                self._evict(client)
-        readers = []
-        for client in holding_response:
-            if len(self.open_connections) <= self.eviction_threshold:
-                return
-            if client.is_output_being_read(now_ms, SCARCE_LIMITS):
                 readers.append(client)
-            else:
-                self._evict(client)
-        for client in self._excess_readers(readers):
-            if len(self.open_connections) <= self.eviction_threshold:
-                return
-            self._evict(client)
-        excess = len(self.open_connections) - self.eviction_threshold
-        receiving = [client for client in self._awaiting_request if client.is_receiving]
-        for client in receiving[: max(0, excess)]:
-            self._record(client, CloseReason.EVICTED)
-            client.reject_request()
+        return overdue, readers
 
     def _excess_readers(self, readers: list[LimitedConnection]) -> list[LimitedConnection]:
-        """Return the connections that give way although their clients read a response, oldest first.
+        """Return the connections to evict although their clients read a response, oldest first.
 
         Together with the connections that have an open request, they may be as many as clients that send
         requests hold at most. Otherwise slow readers would fill the gateway.
         """
         in_tables = len(self._awaiting_request) + len(self._idle) + len(self._closing)
         open_count = len(self.open_connections) - in_tables
-        kept_count = max(self.min_readers, self.max_active - open_count)
+        excess = len(readers) - max(self.min_readers, self.max_active - open_count)
+        if excess <= 0:
+            return []
         since_ms = {**self._awaiting_request, **self._idle, **self._closing}
-        oldest_first = sorted(readers, key=since_ms.__getitem__)
-        return oldest_first[: max(0, len(readers) - kept_count)]
+        return sorted(readers, key=since_ms.__getitem__)[:excess]
 
-    def _evict(self, client: LimitedConnection) -> None:
-        self._abort(client, CloseReason.EVICTED)
-        self.remove(client)
+    def _evict(self, clients: list[LimitedConnection]) -> None:
+        """Abort the first of these connections, until the eviction threshold is no longer exceeded."""
+        excess = len(self.open_connections) - self.eviction_threshold
+        for client in clients[: max(0, excess)]:
+            self._abort(client, CloseReason.EVICTED)
+            self.remove(client)
 
     def _is_reading(self, client: LimitedConnection, now_ms: float) -> bool:
         """Return whether the client still reads a response, so that its connection is not unused."""
-        return client.is_output_being_read(now_ms, LINGERING_LIMITS)
+        return client.output_state(now_ms, LINGERING_LIMITS) is OutputState.BEING_READ
 
     def sweep(self, now_ms: float, is_draining: bool, *, is_memory_scarce: bool = False) -> None:
         """Close each connection that has exceeded a time limit, and release the memory of idle ones.
@@ -355,7 +366,7 @@
         """
         self._time_out_input(now_ms, is_draining)
         if is_memory_scarce:
-            self._abort_stalled_readers(now_ms)
+            self._abort_overdue_readers(now_ms)
         self._close_unused_under_overload(now_ms)
         self._close_expired_idle(now_ms)
         self._abort_expired_closing(now_ms, is_draining)
@@ -396,14 +407,13 @@
         self, clients: list[LimitedConnection], count: int, now_ms: float
     ) -> list[LimitedConnection]:
         """Return the first of these connections, at most `count`, whose clients read no response."""
-        if count <= 0:
-            return []
-        return [client for client in clients if not self._is_reading(client, now_ms)][:count]
+        not_reading = (client for client in clients if not self._is_reading(client, now_ms))
+        return list(itertools.islice(not_reading, max(0, count)))
 
-    def _abort_stalled_readers(self, now_ms: float) -> None:
-        """Abort the idle connections whose clients have exceeded a limit for reading their responses."""
-        for client in list(self._idle):
-            if client.holds_response() and not client.is_output_being_read(now_ms, SCARCE_LIMITS):
+    def _abort_overdue_readers(self, now_ms: float) -> None:
+        """Abort the connections whose clients have exceeded a limit for reading their responses."""
+        for client in [*self._closing, *self._idle]:
+            if client.output_state(now_ms, SCARCE_LIMITS) is OutputState.OVERDUE:
                 self._abort(client, CloseReason.STALLED_READER)
                 self.remove(client)
 
@@ -429,10 +439,8 @@
         A client may read the output for MAX_OUTPUT_LINGER_MS, if it never pauses for OUTPUT_STALL_TIMEOUT_MS.
         Input extends the linger timeout up to MAX_LINGER_MS in total, but not while the gateway drains.
         """
-        for client in _in_table_longer_than(self._closing, now_ms, 0.0):
-            if self._is_reading(client, now_ms):
-                continue
-            if now_ms - self._closing[client] <= LINGER_TIMEOUT_MS:
+        for client, since_ms in list(self._closing.items()):
+            if self._is_reading(client, now_ms) or now_ms - since_ms <= LINGER_TIMEOUT_MS:
                 continue
             closing_ms = now_ms - client.closing_since_ms
             if client.received_while_closing and closing_ms < MAX_LINGER_MS and not is_draining:
--- a/gateway/network/clients/output_progress.py
+++ b/gateway/network/clients/output_progress.py
@@ -1,8 +1,17 @@
-"""Tracks how a client reads the output of its connection, so that an answer that it reads is not cut off."""
+"""Tracks how a client reads the output of its connection, so that a response that it reads is not cut off."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum, auto
+
+
+class OutputState(Enum):
+    """How far a client has read the output of its connection."""
+
+    READ = auto()  # completely
+    BEING_READ = auto()
+    OVERDUE = auto()  # not completely, and the client has exceeded a limit
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,9 +51,12 @@
             self._changed_at_ms = now_ms
         self.unread_bytes = unread_bytes
 
-    def is_being_read(self, now_ms: float, limits: ReadingLimits) -> bool:
-        """Return whether there is unread output, and the client has not exceeded a limit for reading it."""
-        if not self.unread_bytes or now_ms - self._changed_at_ms > limits.stall_timeout_ms:
-            return False
-        timeout_ms = limits.total_timeout_ms + self._pending_bytes / limits.min_bytes_per_ms
-        return now_ms - self._pending_since_ms <= timeout_ms
+    def state(self, now_ms: float, limits: ReadingLimits) -> OutputState:
+        """Return how far the client had read its output at the last measurement."""
+        if not self.unread_bytes:
+            return OutputState.READ
+        total_timeout_ms = limits.total_timeout_ms + self._pending_bytes / limits.min_bytes_per_ms
+        is_stalled = now_ms - self._changed_at_ms > limits.stall_timeout_ms
+        if is_stalled or now_ms - self._pending_since_ms > total_timeout_ms:
+            return OutputState.OVERDUE
+        return OutputState.BEING_READ
--- a/gateway/network/gateway.py
+++ b/gateway/network/gateway.py
@@ -206,7 +206,7 @@
 
     def diagnostics_text(self) -> bytes:
         """Return the ends of requests and what this process holds in the text format of Prometheus."""
-        policy_held = self.controller_loop.controller.held_counts()
+        policy_counts = self.controller_loop.controller.open_counts()
         return self.metrics.diagnostics_text(
             {
                 "reserved_bytes": self.memory.reserved_bytes,
@@ -217,9 +217,9 @@
                 "customers": self.controller_loop.controller.customer_count(),
                 "open_requests": len(self.requests.open_requests),
                 "attempts": len(self.attempts.in_flight),
-                "policy_open_requests": policy_held.requests,
-                "policy_attempts": policy_held.attempts,
-                "policy_executing_attempts": policy_held.executing_attempts,
+                "policy_open_requests": policy_counts.requests,
+                "policy_attempts": policy_counts.attempts,
+                "policy_executing_attempts": policy_counts.executing_attempts,
             }
         )
 
--- a/gateway/policy/controller.py
+++ b/gateway/policy/controller.py
@@ -31,7 +31,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HeldCounts:
+class OpenCounts:
     """What the policy counts as open; the network code has the same number of each."""
 
     requests: int  # that have no final answer
@@ -101,10 +101,10 @@
         """Return the number of customers for which this gateway keeps an account or a leader's bucket."""
         return len(self.flow.lease_client.accounts.by_key) + len(self.flow.leader.buckets)
 
-    def held_counts(self) -> HeldCounts:
+    def open_counts(self) -> OpenCounts:
         """Return the requests and attempts that the policy counts as open at present."""
         attempts = self.flow.attempts
-        return HeldCounts(len(self.flow.open_requests), len(attempts.table), attempts.limiter.in_flight.value)
+        return OpenCounts(len(self.flow.open_requests), len(attempts.table), attempts.limiter.in_flight.value)
 
     def _start_turn(self, now_ms: float) -> None:
         turn = self.context.turn
--- a/tests/network/clients/test_scarce_connections.py
+++ b/tests/network/clients/test_scarce_connections.py
@@ -197,20 +197,29 @@
         reader.close()
 
 
-async def test_reader_below_the_minimum_rate_gives_way_although_it_reads(endpoint, gateway, running_gateway):
+@pytest.mark.parametrize("extra", ["", CLOSING_FIELD], ids=["kept connection", "closing connection"])
+@pytest.mark.parametrize("is_memory_scarce", [True, False], ids=["memory", "descriptors"])
+async def test_reader_below_the_minimum_rate_is_aborted_although_it_reads(
+    is_memory_scarce, extra, endpoint, gateway, running_gateway
+):
     reader, connection = await connect_reader(gateway, running_gateway)
-    await leave_response_unread(reader, endpoint, gateway, bytes(30_000))
-    unread_bytes = connection.unread_output_bytes
-    gateway.connections.eviction_threshold = 0
-    began_ms = gateway.clock.now()
-    gateway.connections.evict_excess(began_ms)
-    allowed_ms = OUTPUT_STALL_TIMEOUT_MS + unread_bytes / MIN_READ_BYTES_PER_MS
+    await leave_response_unread(reader, endpoint, gateway, bytes(30_000), extra)
+    gateway.connections.eviction_threshold = 1 if is_memory_scarce else 0
+    started_ms = gateway.clock.now()
+
+    def close_after(elapsed_ms):
+        now_ms = started_ms + elapsed_ms
+        gateway.connections.evict_excess(now_ms)
+        gateway.connections.sweep(now_ms, False, is_memory_scarce=is_memory_scarce)
+
+    close_after(0.0)
+    allowed_ms = OUTPUT_STALL_TIMEOUT_MS + connection.unread_output_bytes / MIN_READ_BYTES_PER_MS
     for elapsed_ms in (0.5 * allowed_ms, allowed_ms - 100, allowed_ms + 200):
         assert len(gateway.connections) == 1
         before_bytes = connection.unread_output_bytes
         while connection.unread_output_bytes == before_bytes:
             await reader.read(100)
             await asyncio.sleep(0.01)
-        gateway.connections.evict_excess(began_ms + elapsed_ms)
+        close_after(elapsed_ms)
     assert not len(gateway.connections)
     reader.close()
--- a/tests/network/test_open_counts.py
+++ b/tests/network/test_open_counts.py
@@ -52,9 +52,7 @@
             getattr(work, name)(*arguments, **options)
         work.turn()
         work.check_counts()
-        work.settle()
-        work.check_counts()
-        assert not work.requests.open_requests and not work.attempts.in_flight
+        work.finish()
 
 
 def turns(*, with_errors):
@@ -97,10 +95,8 @@
                 getattr(work, name)(*arguments, **options)
         work.turn()
         work.check_counts()
-    work.settle()
-    work.check_counts()
-    assert not work.requests.open_requests and not work.attempts.in_flight
-    assert work.controller.held_counts().executing_attempts == 0
+    work.finish()
+    assert work.controller.open_counts().executing_attempts == 0
 
 
 @settings(max_examples=200, deadline=None, derandomize=True)
@@ -132,9 +128,7 @@
     work.advance(200.0)
     work.turn()
     work.check_counts()
-    work.settle()
-    work.check_counts()
-    assert not work.requests.open_requests and not work.attempts.in_flight
+    work.finish()
 
 
 def test_request_is_dispatched_once_although_another_one_in_the_queue_raises():
--- a/tests/network/test_output_backlog.py
+++ b/tests/network/test_output_backlog.py
@@ -11,6 +11,7 @@
 from support.polling import wait_until
 from support.running_gateway import RunningGateway
 from support.scripted_controller import ScriptedController
+from support.slow_reader import SlowReader
 
 from gateway.network.clients.connection_limiter import LINGER_TIMEOUT_MS
 from gateway.network.clock import Clock, Timers
@@ -112,12 +113,7 @@
 
 async def connect_without_reading(port, request):
     """Return a socket that has sent a request and reads nothing, with a small receive buffer."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
-    sock.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(sock, (HOST, port))
-    sock.send(request)
-    return sock
+    return (await SlowReader().connect(port)).send(request).sock
 
 
 @pytest.mark.parametrize("keep_alive", [True, False])
--- a/tests/support/open_work.py
+++ b/tests/support/open_work.py
@@ -318,6 +318,12 @@
             self.advance(500.0)
             self.turn()
 
+    def finish(self):
+        """Settle, and check that nothing remains open."""
+        self.settle()
+        self.check_counts()
+        assert not self.requests.open_requests and not self.attempts.in_flight
+
     def _request(self, index):
         requests = list(self.requests.open_requests.values())
         return requests[index % len(requests)] if requests else None
--- a/tests/support/scripted_controller.py
+++ b/tests/support/scripted_controller.py
@@ -5,7 +5,7 @@
 
 from gateway.interface.actions import Fail, SendAttempt
 from gateway.interface.events import AttemptEnded, RequestArrived
-from gateway.policy.controller import HeldCounts
+from gateway.policy.controller import OpenCounts
 
 
 class ScriptedController:
@@ -44,9 +44,9 @@
         """Return 0: this controller keeps no accounts."""
         return 0
 
-    def held_counts(self):
+    def open_counts(self):
         """Return counts of 0: this controller keeps no records."""
-        return HeldCounts(0, 0, 0)
+        return OpenCounts(0, 0, 0)
 
     def endpoint_counts(self, _now):
         """Return 0 as the number of listed endpoints and as the number of avoided ones."""
