--- a/tools/fault_injection/gateway_process.py
+++ b/tools/fault_injection/gateway_process.py
@@ -183,9 +183,14 @@
         return self._process.pid
 
     def send_signal(self, number: signal.Signals) -> None:
-        """Send a signal to the process, if it still runs."""
+        """Send a signal to the process, if it still runs.
+
+        `Process.send_signal` would collect the exit code of a process that has just ended, and the event loop
+        would report 255 in its place.
+        """
         if self._process is not None and self._process.returncode is None:
-            self._process.send_signal(number)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self._process.pid, number)
 
     async def shut_down(self) -> bool:
         """Send SIGTERM, and SIGKILL at the earliest time the platform may; return whether it was needed."""
